--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+GO ?= go
+SEED ?= 1
+COUNT ?= 240
+
+.PHONY: build test lint spec demo moves routing bench fuzz
+
+build:
+	mkdir -p bin
+	$(GO) build -o bin/ ./cmd/...
+
+test:
+	$(GO) test -race -timeout 15m ./...
+
+lint:
+	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
