Add at-most-once claims for non-idempotent requests

Cause: a caller may resend a request to another node, another failure domain or after an owner's death, and the request must still run at most once. Change: internal/claims keeps the identity of each granted request at a primary and a backup named by a view in the platform's table. A grant needs both; only a view change needs the platform. Ruled out: ordering records by revision alone, and a second wait for a repeated claim message.

--- /dev/null
+++ b/internal/claims/claims_test.go
@@ -0,0 +1,358 @@
+package claims
+
+import (
+	"encoding/binary"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+)
+
+const testDomain = mesh.FailureDomain("ifrane")
+
+// identityAt returns an identity created at t. The number tells identities
+// apart; identities with the same number share a shard.
+func identityAt(t mesh.Time, number byte) Identity {
+	var u uuid.UUID
+	binary.BigEndian.PutUint64(u[:8], uint64(int64(t)/int64(time.Millisecond))<<16)
+	u[6], u[8], u[15] = 0x70, 0x80, number
+	return Identity{Home: testDomain, UUID: u}
+}
+
+// group is a failure domain of claim reducers with a table row between them.
+// Messages wait in queue until the test delivers or drops them.
+type group struct {
+	now     mesh.Time
+	nodes   map[mesh.HostID]*State
+	hosts   []mesh.HostID
+	started map[mesh.HostID]mesh.Time
+	// dead hosts are reported as dead but go on; stopped hosts do nothing.
+	dead     map[mesh.HostID]bool
+	stopped  map[mesh.HostID]bool
+	queue    []Send
+	row      platform.Row
+	verdicts map[mesh.HostID][]CallVerdict
+}
+
+func newGroup(hosts ...mesh.HostID) *group {
+	g := &group{
+		now: mesh.Time(time.Hour), nodes: map[mesh.HostID]*State{}, hosts: hosts,
+		started: map[mesh.HostID]mesh.Time{}, dead: map[mesh.HostID]bool{}, stopped: map[mesh.HostID]bool{},
+		verdicts: map[mesh.HostID][]CallVerdict{},
+	}
+	for _, h := range hosts {
+		g.start(h)
+	}
+	return g
+}
+
+func (g *group) start(h mesh.HostID) {
+	g.started[h] = g.now
+	g.dead[h], g.stopped[h] = false, false
+	g.nodes[h] = New(Replica{Host: h, Started: g.now}, testDomain)
+}
+
+// Live implements Directory.
+func (g *group) Live(mesh.FailureDomain) []Replica {
+	var live []Replica
+	for _, h := range g.hosts {
+		if !g.dead[h] {
+			live = append(live, Replica{Host: h, Started: g.started[h]})
+		}
+	}
+	return live
+}
+
+// Ended implements Directory.
+func (g *group) Ended(r Replica) bool { return g.started[r.Host] > r.Started }
+
+func (g *group) collect(h mesh.HostID, out *Effects) {
+	g.queue = append(g.queue, out.Sends...)
+	g.verdicts[h] = append(g.verdicts[h], out.Verdicts...)
+	for _, item := range out.Items {
+		for _, n := range g.nodes {
+			if err := n.SetView(item.Value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	for _, r := range out.Platform {
+		res := g.serve(r)
+		var next Effects
+		g.nodes[h].PlatformResult(g.now, &res, &next)
+		g.collect(h, &next)
+	}
+}
+
+// serve runs a request on the one-row table.
+func (g *group) serve(r platform.Request) platform.Result {
+	res := platform.Result{ID: r.ID, Op: r.Op, Status: platform.OK}
+	if r.Op == platform.OpCommit {
+		if r.Txn.Checks[0].Revision != g.row.Revision {
+			res.Status = platform.Conflict
+			return res
+		}
+		g.row = platform.Row{Key: r.Txn.Puts[0].Key, Value: r.Txn.Puts[0].Value, Revision: g.row.Revision + 1}
+	}
+	if g.row.Revision > 0 {
+		res.Rows = []platform.Row{g.row}
+	}
+	return res
+}
+
+func (g *group) deliver(i int) {
+	s := g.queue[i]
+	g.queue = slices.Delete(g.queue, i, i+1)
+	if n := g.nodes[s.To]; !g.stopped[s.To] {
+		var out Effects
+		n.Receive(g.now, &s.Message, &out)
+		g.collect(s.To, &out)
+	}
+}
+
+func (g *group) deliverAll() {
+	for len(g.queue) > 0 {
+		g.deliver(0)
+	}
+}
+
+// stop ends a process, and the others notice.
+func (g *group) stop(h mesh.HostID) { g.dead[h], g.stopped[h] = true, true }
+
+// tick advances time and lets the first running host manage the views.
+func (g *group) tick(d time.Duration) {
+	g.now = g.now.Add(d)
+	manager := true
+	for _, h := range g.hosts {
+		if g.stopped[h] {
+			continue
+		}
+		var out Effects
+		if live := g.Live(testDomain); len(live) > 0 {
+			g.nodes[h].SetManagers([]mesh.HostID{live[0].Host})
+		}
+		g.nodes[h].Tick(g.now, g, manager, &out)
+		g.collect(h, &out)
+		manager = false
+	}
+}
+
+// settle runs ticks with reliable delivery.
+func (g *group) settle(d time.Duration) {
+	for end := g.now.Add(d); g.now < end; {
+		g.tick(100 * time.Millisecond)
+		g.deliverAll()
+	}
+}
+
+func (g *group) claim(h mesh.HostID, call mesh.CallID, id Identity) Verdict {
+	var out Effects
+	g.nodes[h].Claim(g.now, call, id, &out)
+	g.collect(h, &out)
+	g.deliverAll()
+	return g.last(h, call)
+}
+
+func (g *group) last(h mesh.HostID, call mesh.CallID) Verdict {
+	for _, v := range g.verdicts[h] {
+		if v.Call == call {
+			return v.Verdict
+		}
+	}
+	return 0
+}
+
+func (g *group) shard(id Identity) *Shard {
+	v, err := DecodeView(g.row.Value)
+	if err != nil {
+		panic(err)
+	}
+	return &v.Shards[id.Shard()]
+}
+
+// Guards against a resend of a granted request running a second time, through
+// another entry node, after the death of the primary and after its return.
+func TestResendIsNeverGrantedAgain(t *testing.T) {
+	is := is.New(t)
+	g := newGroup("a", "b", "c")
+	g.settle(30 * time.Second)
+	id := identityAt(g.now, 1)
+	is.Equal(g.claim("a", 1, id), VerdictGranted)
+	is.Equal(g.claim("b", 2, id), VerdictDuplicate)
+	primary := g.shard(id).Primary.Host
+	g.stop(primary)
+	g.settle(10 * time.Second)
+	for call, h := range g.hosts {
+		if !g.dead[h] {
+			is.Equal(g.claim(h, mesh.CallID(10+call), id), VerdictDuplicate)
+		}
+	}
+	g.start(primary)
+	g.settle(60 * time.Second)
+	is.Equal(g.claim(primary, 20, id), VerdictDuplicate)
+}
+
+// Guards against a request that surely did not run being refused for ever.
+func TestReleasedIdentityIsGrantedAgain(t *testing.T) {
+	is := is.New(t)
+	g := newGroup("a", "b")
+	g.settle(30 * time.Second)
+	id := identityAt(g.now, 2)
+	is.Equal(g.claim("a", 1, id), VerdictGranted)
+	var out Effects
+	g.nodes["a"].Release(g.now, 1, &out)
+	g.collect("a", &out)
+	g.deliverAll()
+	is.Equal(g.claim("b", 2, id), VerdictGranted)
+	is.Equal(g.claim("a", 3, id), VerdictDuplicate)
+}
+
+// Guards against a lost memory being taken for an empty one: after all members
+// restarted, an identity from before must not be granted.
+func TestIdentityOlderThanTheViewIsDuplicate(t *testing.T) {
+	is := is.New(t)
+	g := newGroup("a", "b")
+	g.settle(30 * time.Second)
+	id := identityAt(g.now, 3)
+	is.Equal(g.claim("a", 1, id), VerdictGranted)
+	g.now = g.now.Add(time.Second)
+	g.start("a")
+	g.start("b")
+	g.settle(30 * time.Second)
+	is.Equal(g.claim("a", 2, id), VerdictDuplicate)
+	is.Equal(g.claim("a", 3, identityAt(g.now, 3)), VerdictGranted)
+}
+
+// Guards against two owners: while both members of a shard are out of reach
+// but may be alive, no other pair may take over.
+func TestShardWaitsWhileItsMembersMayBeAlive(t *testing.T) {
+	is := is.New(t)
+	g := newGroup("a", "b", "c")
+	g.settle(60 * time.Second)
+	id := identityAt(g.now, 4)
+	s := g.shard(id)
+	g.stop(s.Primary.Host)
+	g.stop(s.Backup.Host)
+	g.settle(30 * time.Second)
+	for _, h := range g.hosts {
+		if !g.dead[h] {
+			is.True(g.claim(h, 1, id) != VerdictGranted)
+		}
+	}
+}
+
+// Guards against clocks of callers deciding whether a request runs twice.
+func TestIdentityOutsideTheTimeBounds(t *testing.T) {
+	is := is.New(t)
+	g := newGroup("a", "b")
+	g.settle(30 * time.Second)
+	is.Equal(g.claim("a", 1, identityAt(g.now.Add(time.Minute), 5)), VerdictFuture)
+	is.Equal(g.claim("a", 2, identityAt(g.now.Add(1500*time.Millisecond), 5)), VerdictUnavailable)
+	is.Equal(g.claim("a", 3, identityAt(g.now.Add(-Window-time.Second), 5)), VerdictDuplicate)
+}
+
+// Guards against a second run under loss, reordering, duplication, restarts
+// and false death reports in any order.
+func TestAtMostOneGrantUnderFaults(t *testing.T) {
+	rapid.Check(t, checkAtMostOneGrant)
+}
+
+func checkAtMostOneGrant(t *rapid.T) {
+	g := newGroup("a", "b", "c")
+	g.settle(10 * time.Second)
+	id := identityAt(g.now, 6)
+	held := map[mesh.CallID]bool{} // grants whose release was not sent
+	var call mesh.CallID
+	seen := map[mesh.HostID]int{}
+	note := func() {
+		for h, vs := range g.verdicts {
+			for _, v := range vs[seen[h]:] {
+				if v.Verdict == VerdictGranted {
+					held[v.Call] = true
+				}
+			}
+			seen[h] = len(vs)
+		}
+		if len(held) > 1 {
+			t.Fatalf("identity granted %d times without a release", len(held))
+		}
+	}
+	for range rapid.IntRange(10, 80).Draw(t, "steps") {
+		h := rapid.SampledFrom(g.hosts).Draw(t, "host")
+		switch rapid.IntRange(0, 9).Draw(t, "step") {
+		case 0, 1:
+			call++
+			var out Effects
+			if !g.stopped[h] {
+				g.nodes[h].Claim(g.now, call, id, &out)
+				g.collect(h, &out)
+			}
+		case 2:
+			for c := range held {
+				if gr, ok := g.nodes[h].grants[c]; ok && gr.id == id {
+					var out Effects
+					delete(held, c)
+					g.nodes[h].Release(g.now, c, &out)
+					g.collect(h, &out)
+				}
+			}
+		case 3:
+			g.dead[h] = !g.dead[h] // a false death report, or its end
+			g.stopped[h] = g.dead[h] && rapid.Bool().Draw(t, "paused")
+		case 4:
+			g.now = g.now.Add(time.Millisecond)
+			g.start(h)
+		case 5:
+			if len(g.queue) > 0 {
+				i := rapid.IntRange(0, len(g.queue)-1).Draw(t, "lost")
+				g.queue = slices.Delete(g.queue, i, i+1)
+			}
+		case 6:
+			if len(g.queue) > 0 {
+				g.queue = append(g.queue, g.queue[rapid.IntRange(0, len(g.queue)-1).Draw(t, "twice")])
+			}
+		case 7, 8:
+			for range min(len(g.queue), 5) {
+				g.deliver(rapid.IntRange(0, len(g.queue)-1).Draw(t, "next"))
+			}
+		case 9:
+			g.tick(time.Duration(rapid.IntRange(50, 1500).Draw(t, "ms")) * time.Millisecond)
+		}
+		note()
+	}
+}
+
+// Guards against a view row from a broken or hostile writer ending the process.
+func FuzzDecodeView(f *testing.F) {
+	f.Add((&View{Domain: testDomain, Shards: make([]Shard, ShardCount)}).Encode())
+	f.Add([]byte(`{"shards":[{"p":7}]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if v, err := DecodeView(b); err == nil {
+			if again, err := DecodeView(v.Encode()); err != nil || again.Step() != v.Step() {
+				t.Fatalf("view does not survive encoding: %v", err)
+			}
+		}
+	})
+}
+
+// Guards against a malformed header being taken for an identity.
+func FuzzParseIdentity(f *testing.F) {
+	f.Add("ifrane.01890a5d-ac96-774b-bcce-b302099a8057")
+	f.Add("ifrane.")
+	f.Add(".01890a5d-ac96-774b-bcce-b302099a8057")
+	f.Fuzz(func(t *testing.T, s string) {
+		id, err := ParseIdentity(s)
+		if err != nil {
+			return
+		}
+		if again, err := ParseIdentity(id.String()); err != nil || again != id {
+			t.Fatalf("identity %q does not survive formatting", s)
+		}
+	})
+}
