--- /dev/null
+++ b/internal/config/canonical.go
@@ -0,0 +1,133 @@
+package config
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+// MaxEncodedBytes is the largest canonical encoding that is accepted, in bytes.
+const MaxEncodedBytes = 4 << 20
+
+// Hash is the SHA-256 of a canonical encoding in lower-case hex.
+type Hash string
+
+// HashOf returns the hash of a canonical encoding.
+func HashOf(encoded []byte) Hash {
+	sum := sha256.Sum256(encoded)
+	return Hash(hex.EncodeToString(sum[:]))
+}
+
+// classDoc is the encoded form of a Class: the priority stands by its name.
+type classDoc struct {
+	Class
+	Priority string `json:"priority"`
+}
+
+// snapshotDoc is the encoded form of a Snapshot.
+type snapshotDoc struct {
+	FailureDomains []FailureDomain `json:"failure_domains"`
+	Services       []Service       `json:"services"`
+	Classes        []classDoc      `json:"classes"`
+	Routes         []Route         `json:"routes"`
+}
+
+func docOf(s *Snapshot) snapshotDoc {
+	doc := snapshotDoc{FailureDomains: s.FailureDomains, Services: s.Services, Routes: s.Routes}
+	for _, c := range s.Classes {
+		doc.Classes = append(doc.Classes, classDoc{Class: c, Priority: c.Priority.String()})
+	}
+	return doc
+}
+
+func (doc *snapshotDoc) snapshot() (*Snapshot, error) {
+	s := &Snapshot{FailureDomains: doc.FailureDomains, Services: doc.Services, Routes: doc.Routes}
+	for _, c := range doc.Classes {
+		priority, err := mesh.ParsePriority(c.Priority)
+		if err != nil {
+			return nil, fmt.Errorf("class %q: %w", c.Name, err)
+		}
+		c.Class.Priority = priority
+		s.Classes = append(s.Classes, c.Class)
+	}
+	return s, nil
+}
+
+// Encode returns the canonical encoding of s: JSON with the resources of each
+// kind sorted by name. Equal snapshots have equal encodings.
+func Encode(s *Snapshot) ([]byte, error) {
+	encoded, err := json.Marshal(docOf(s.sorted()))
+	if err != nil {
+		return nil, fmt.Errorf("encode snapshot: %w", err)
+	}
+	return encoded, nil
+}
+
+// Decode reads a canonical encoding. It refuses unknown fields, oversized
+// input and any form that Encode would not produce. It does not validate the
+// snapshot's values.
+func Decode(encoded []byte) (*Snapshot, error) {
+	if len(encoded) > MaxEncodedBytes {
+		return nil, fmt.Errorf("snapshot has %d bytes, the limit is %d", len(encoded), MaxEncodedBytes)
+	}
+	var doc snapshotDoc
+	if err := decodeStrict(encoded, &doc); err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	s, err := doc.snapshot()
+	if err != nil {
+		return nil, fmt.Errorf("decode snapshot: %w", err)
+	}
+	again, err := Encode(s)
+	if err != nil {
+		return nil, err
+	}
+	if !bytes.Equal(again, encoded) {
+		return nil, fmt.Errorf("snapshot is not in canonical form")
+	}
+	return s, nil
+}
+
+// decodeStrict decodes exactly one JSON value without unknown fields.
+func decodeStrict(data []byte, v any) error {
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(v); err != nil {
+		return err
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return fmt.Errorf("data after the JSON value")
+	}
+	return nil
+}
+
+// sorted returns a copy of s with the resources of each kind sorted by name.
+func (s *Snapshot) sorted() *Snapshot {
+	return &Snapshot{
+		FailureDomains: sortedBy(s.FailureDomains, domainName),
+		Services:       sortedBy(s.Services, serviceName),
+		Classes:        sortedBy(s.Classes, className),
+		Routes:         sortedBy(s.Routes, routeName),
+	}
+}
+
+func sortedBy[T any](items []T, name func(T) string) []T {
+	if len(items) == 0 {
+		return nil
+	}
+	out := slices.Clone(items)
+	slices.SortStableFunc(out, func(a, b T) int { return cmp.Compare(name(a), name(b)) })
+	return out
+}
+
+func domainName(d FailureDomain) string { return string(d.Name) }
+func serviceName(s Service) string      { return string(s.Name) }
+func className(c Class) string          { return string(c.Name) }
+func routeName(r Route) string          { return string(r.Name) }
--- /dev/null
+++ b/internal/platform/rows.go
@@ -0,0 +1,91 @@
+package platform
+
+import (
+	"encoding/json"
+	"fmt"
+	"strconv"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+// Keys of the table's rows.
+const (
+	// HeadKey is the row that names the accepted configuration.
+	HeadKey = "head"
+	// MovePrefix starts the keys of moves.
+	MovePrefix = "moves/"
+	// WithdrawalPrefix starts the keys of operators' requests to withdraw a move.
+	WithdrawalPrefix = "withdrawals/"
+
+	historyPrefix   = "history/"
+	operationPrefix = "operations/"
+)
+
+// HistoryKey returns the key of the history row of v.
+func HistoryKey(v mesh.ConfigVersion) string {
+	return historyPrefix + strconv.FormatUint(uint64(v), 10)
+}
+
+// OperationKey returns the key of the row that records the result of an
+// operator's operation.
+func OperationKey(operation string) string { return operationPrefix + operation }
+
+// MoveKey returns the key of a move's row.
+func MoveKey(move mesh.MoveID) string { return MovePrefix + string(move) }
+
+// WithdrawalKey returns the key of an operator's request to withdraw a move.
+func WithdrawalKey(move mesh.MoveID) string { return WithdrawalPrefix + string(move) }
+
+// Head is the value of the row HeadKey: the accepted configuration.
+type Head struct {
+	Version mesh.ConfigVersion `json:"version"`
+	// Hash names the snapshot in the object store.
+	Hash string `json:"hash"`
+	// Writer is the operation ID that advanced the head.
+	Writer string `json:"writer"`
+}
+
+// History is the value of a history row. It is written once and never changed.
+type History struct {
+	Version mesh.ConfigVersion `json:"version"`
+	Hash    string             `json:"hash"`
+	// Writer is the operation ID that created the version.
+	Writer string `json:"writer"`
+	// Time is the time of acceptance by the clock of the node that wrote it.
+	Time     mesh.Time `json:"time_ns"`
+	Operator string    `json:"operator"`
+	Note     string    `json:"note"`
+}
+
+// Operation is the value of an operation row: the version that the operation
+// created.
+type Operation struct {
+	Version mesh.ConfigVersion `json:"version"`
+	Hash    string             `json:"hash"`
+}
+
+// Withdrawal is the value of a withdrawal row.
+type Withdrawal struct {
+	Operator string    `json:"operator"`
+	Reason   string    `json:"reason"`
+	Time     mesh.Time `json:"time_ns"`
+}
+
+// EncodeRow returns the table's form of a row value.
+func EncodeRow[T Head | History | Operation | Withdrawal](value T) []byte {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		// The types hold only strings and integers, which always encode.
+		panic(err)
+	}
+	return encoded
+}
+
+// DecodeRow reads a row value. The error names the row's key.
+func DecodeRow[T Head | History | Operation | Withdrawal](row Row) (T, error) {
+	var value T
+	if err := json.Unmarshal(row.Value, &value); err != nil {
+		return value, fmt.Errorf("row %q: %w", row.Key, err)
+	}
+	return value, nil
+}
