--- a/internal/config/accepted.go
+++ b/internal/config/accepted.go
@@ -18,14 +18,17 @@
 // Accept validates s and derives its encoding, hash and index. The error is of
 // type Faults and lists every fault.
 func Accept(s *Snapshot) (*Accepted, error) {
-	if faults := Validate(s); len(faults) > 0 {
-		return nil, faults
+	if err := Validate(s).AsError(); err != nil {
+		return nil, err
 	}
 	sorted := s.sorted()
 	encoded, err := Encode(sorted)
 	if err != nil {
 		return nil, err
 	}
+	if len(encoded) > MaxEncodedBytes {
+		return nil, Faults{{Reason: fmt.Sprintf("encoding has %d bytes, the limit is %d", len(encoded), MaxEncodedBytes)}}
+	}
 	return &Accepted{Snapshot: sorted, Hash: HashOf(encoded), Encoded: encoded, Index: NewIndex(sorted)}, nil
 }
 
--- a/internal/config/canonical.go
+++ b/internal/config/canonical.go
@@ -33,10 +33,10 @@
 
 // snapshotDoc is the encoded form of a Snapshot.
 type snapshotDoc struct {
-	FailureDomains []FailureDomain `json:"failure_domains"`
-	Services       []Service       `json:"services"`
-	Classes        []classDoc      `json:"classes"`
-	Routes         []Route         `json:"routes"`
+	FailureDomains []FailureDomain `json:"failure_domains,omitempty"`
+	Services       []Service       `json:"services,omitempty"`
+	Classes        []classDoc      `json:"classes,omitempty"`
+	Routes         []Route         `json:"routes,omitempty"`
 }
 
 func docOf(s *Snapshot) snapshotDoc {
--- a/internal/config/delta.go
+++ b/internal/config/delta.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"slices"
 )
 
 // Delta turns the snapshot with hash Base into the one with hash Target.
@@ -71,11 +70,16 @@
 }
 
 func patched[T any](base, changed []T, removed []string, name func(T) string) []T {
-	replaced := byName(changed, name)
+	dropped := make(map[string]bool, len(changed)+len(removed))
+	for _, item := range changed {
+		dropped[name(item)] = true
+	}
+	for _, n := range removed {
+		dropped[n] = true
+	}
 	out := make([]T, 0, len(base)+len(changed))
 	for _, item := range base {
-		_, again := replaced[name(item)]
-		if !again && !slices.Contains(removed, name(item)) {
+		if !dropped[name(item)] {
 			out = append(out, item)
 		}
 	}
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -1,5 +1,11 @@
 package config
 
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
 // ChangeKind tells how a resource differs between two snapshots.
 type ChangeKind string
 
@@ -15,8 +21,9 @@
 	Kind ChangeKind `json:"kind"`
 	// Resource is the resource's kind and name, such as "route bookings".
 	Resource string `json:"resource"`
-	// Fields lists the fields of a changed resource.
-	Fields []FieldChange `json:"fields,omitempty"`
+	// Fields lists the fields that differ. An added resource has no old values
+	// and a removed one no new values.
+	Fields []FieldChange `json:"fields"`
 }
 
 // FieldChange is one field of a changed resource.
@@ -28,5 +35,82 @@
 
 // Diff lists what changes from one snapshot to another, by kind and name.
 func Diff(from, to *Snapshot) []Change {
-	return nil
+	from, to = from.sorted(), to.sorted()
+	var changes []Change
+	changes = append(changes, diffKind("failure domain", from.FailureDomains, to.FailureDomains, domainName, domainFields)...)
+	changes = append(changes, diffKind("service", from.Services, to.Services, serviceName, serviceFields)...)
+	changes = append(changes, diffKind("class", from.Classes, to.Classes, className, classFields)...)
+	changes = append(changes, diffKind("route", from.Routes, to.Routes, routeName, routeFields)...)
+	return changes
+}
+
+// field is one field of a resource, printed as in TOML.
+type field struct{ name, value string }
+
+func diffKind[T comparable](kind string, from, to []T, name func(T) string, fields func(T) []field) []Change {
+	var changes []Change
+	old := byName(from, name)
+	for _, item := range to {
+		before, ok := old[name(item)]
+		switch {
+		case !ok:
+			changes = append(changes, Change{Added, kind + " " + name(item), diffFields(nil, fields(item))})
+		case before != item:
+			changes = append(changes, Change{Changed, kind + " " + name(item), diffFields(fields(before), fields(item))})
+		}
+		delete(old, name(item))
+	}
+	for _, item := range old {
+		changes = append(changes, Change{Removed, kind + " " + name(item), diffFields(fields(item), nil)})
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int { return strings.Compare(a.Resource, b.Resource) })
+	return changes
+}
+
+// diffFields compares the fields of one resource. Either list may be empty.
+func diffFields(old, new []field) []FieldChange {
+	var changes []FieldChange
+	for i := range max(len(old), len(new)) {
+		var c FieldChange
+		if i < len(old) {
+			c.Field, c.Old = old[i].name, old[i].value
+		}
+		if i < len(new) {
+			c.Field, c.New = new[i].name, new[i].value
+		}
+		if c.Old != c.New {
+			changes = append(changes, c)
+		}
+	}
+	return changes
+}
+
+func domainFields(FailureDomain) []field { return nil }
+
+func serviceFields(s Service) []field {
+	return []field{{"keep_ready_s", formatUint(s.KeepReadySeconds)}}
+}
+
+func classFields(c Class) []field {
+	return []field{
+		{"priority", c.Priority.String()},
+		{"idempotent", strconv.FormatBool(c.Idempotent)},
+		{"deadline_ms", formatUint(c.DeadlineMillis)},
+		{"target_latency_ms", formatUint(c.TargetLatencyMillis)},
+		{"target_success_share", formatShare(c.TargetSuccessShare)},
+		{"retry_budget_share", formatShare(c.RetryBudgetShare)},
+	}
 }
+
+func routeFields(r Route) []field {
+	return []field{
+		{"method", r.Method},
+		{"path_prefix", r.PathPrefix},
+		{"service", string(r.Service)},
+		{"class", string(r.Class)},
+	}
+}
+
+func formatUint(n uint32) string { return strconv.FormatUint(uint64(n), 10) }
+
+func formatShare(x float64) string { return strconv.FormatFloat(x, 'g', -1, 64) }
--- a/internal/config/fault.go
+++ b/internal/config/fault.go
@@ -1,49 +1,11 @@
 package config
 
-import (
-	"strconv"
-	"strings"
-)
+import "github.com/chicoryscale/chicoryscale/internal/tomldoc"
 
-// Fault is one error in a configuration.
-type Fault struct {
-	// File and Line locate the fault. They are empty and zero for a snapshot
-	// that was not read from a file.
-	File string `json:"file,omitempty"`
-	Line int    `json:"line,omitempty"`
-	// Key is the path of the resource and field, such as "routes[2].service".
-	Key    string `json:"key"`
-	Reason string `json:"reason"`
-}
-
-// String returns the fault as "file:line: key: reason".
-func (f Fault) String() string {
-	var b strings.Builder
-	if f.File != "" {
-		b.WriteString(f.File + ":")
-	}
-	if f.Line > 0 {
-		b.WriteString(strconv.Itoa(f.Line) + ":")
-	}
-	if b.Len() > 0 {
-		b.WriteByte(' ')
-	}
-	if f.Key != "" {
-		b.WriteString(f.Key + ": ")
-	}
-	b.WriteString(f.Reason)
-	return b.String()
-}
+// Fault is one error in a configuration. Its key is the path of the resource
+// and field, such as "routes[2].service".
+type Fault = tomldoc.Fault
 
 // Faults lists all faults of a configuration. It is an error if it is not
 // empty.
-type Faults []Fault
-
-// Error returns the faults, one a line.
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i, fault := range f {
-		lines[i] = fault.String()
-	}
-	return strings.Join(lines, "\n")
-}
+type Faults = tomldoc.Faults
--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -1,8 +1,165 @@
 package config
 
+import (
+	"fmt"
+	"math"
+	"slices"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+// Limits of a configuration.
+const (
+	// MaxResources is the largest number of resources of one kind.
+	MaxResources = 10_000
+	// MaxNameBytes is the longest name of a resource, in bytes.
+	MaxNameBytes = 64
+	// MaxPathPrefixBytes is the longest path prefix, in bytes.
+	MaxPathPrefixBytes = 256
+	// MaxKeepReadySeconds is the longest time for which an old version stays
+	// ready, in seconds.
+	MaxKeepReadySeconds = 24 * 60 * 60
+	// MaxDeadlineMillis is the longest deadline of a class, in milliseconds. A
+	// call must end within the 10 min for which its claim is remembered.
+	MaxDeadlineMillis = 5 * 60 * 1000
+)
+
+var methods = []string{"", "DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
+
 // Validate checks the values of s and its closure: names are unique, values
 // are in range, and every service and class that a route names is in s. It
 // returns every fault. Keys give resources by kind and position.
 func Validate(s *Snapshot) Faults {
-	return nil
+	v := &validator{}
+	checkKind(v, "failure_domains", s.FailureDomains, domainName, func(string, FailureDomain) {})
+	checkKind(v, "services", s.Services, serviceName, v.service)
+	checkKind(v, "classes", s.Classes, className, v.class)
+	v.services = byName(s.Services, serviceName)
+	v.classes = byName(s.Classes, className)
+	v.matches = map[matchKey]string{}
+	checkKind(v, "routes", s.Routes, routeName, v.route)
+	return v.faults
+}
+
+// matchKey holds the fields by which a call finds a route.
+type matchKey struct {
+	service    mesh.Service
+	method     string
+	pathPrefix string
+}
+
+type validator struct {
+	faults   Faults
+	services map[string]Service
+	classes  map[string]Class
+	matches  map[matchKey]string
+}
+
+func (v *validator) addf(key, format string, args ...any) {
+	v.faults = append(v.faults, Fault{Key: key, Reason: fmt.Sprintf(format, args...)})
+}
+
+// checkKind checks the number, the names and the values of one kind. A
+// configuration without any resource of a kind serves no call, so it is
+// refused: it stems from an empty or truncated file.
+func checkKind[T any](v *validator, kind string, items []T, name func(T) string, check func(key string, item T)) {
+	if len(items) == 0 || len(items) > MaxResources {
+		v.addf(kind, "has %d resources, want 1 to %d", len(items), MaxResources)
+	}
+	first := map[string]int{}
+	for i, item := range items[:min(len(items), MaxResources)] {
+		key := fmt.Sprintf("%s[%d]", kind, i)
+		if reason := nameFault(name(item)); reason != "" {
+			v.addf(key+".name", "%s", reason)
+		} else if before, ok := first[name(item)]; ok {
+			v.addf(key+".name", "%q is already the name of %s[%d]", name(item), kind, before)
+		} else {
+			first[name(item)] = i
+		}
+		check(key, item)
+	}
+}
+
+// nameFault returns why a name is invalid. Names exclude the dot and the
+// slash, which separate parts of request identities and table keys.
+func nameFault(name string) string {
+	if name == "" || len(name) > MaxNameBytes {
+		return fmt.Sprintf("has %d bytes, want 1 to %d", len(name), MaxNameBytes)
+	}
+	for i := range len(name) {
+		c := name[i]
+		alphanumeric := c >= 'a' && c <= 'z' || c >= '0' && c <= '9'
+		if !alphanumeric && (i == 0 || c != '-' && c != '_') {
+			return fmt.Sprintf("%q: want lower-case letters, digits, '-' and '_', with a letter or digit first", name)
+		}
+	}
+	return ""
+}
+
+func (v *validator) service(key string, s Service) {
+	if s.KeepReadySeconds > MaxKeepReadySeconds {
+		v.addf(key+".keep_ready_s", "is %d, want 0 to %d", s.KeepReadySeconds, MaxKeepReadySeconds)
+	}
+}
+
+func (v *validator) class(key string, c Class) {
+	if c.Priority >= mesh.Priorities {
+		v.addf(key+".priority", "is %d, want bulk, normal or critical", c.Priority)
+	}
+	if c.DeadlineMillis < 1 || c.DeadlineMillis > MaxDeadlineMillis {
+		v.addf(key+".deadline_ms", "is %d, want 1 to %d", c.DeadlineMillis, MaxDeadlineMillis)
+	}
+	if c.TargetLatencyMillis < 1 || c.TargetLatencyMillis > c.DeadlineMillis {
+		v.addf(key+".target_latency_ms", "is %d, want 1 to deadline_ms, which is %d", c.TargetLatencyMillis, c.DeadlineMillis)
+	}
+	// The comparisons are written so that NaN fails them. Negative zero equals
+	// zero but has another encoding, so it is refused too.
+	if !(c.TargetSuccessShare > 0 && c.TargetSuccessShare <= 1) {
+		v.addf(key+".target_success_share", "is %g, want above 0 and at most 1", c.TargetSuccessShare)
+	}
+	if !(c.RetryBudgetShare >= 0 && c.RetryBudgetShare <= 1) || math.Signbit(c.RetryBudgetShare) {
+		v.addf(key+".retry_budget_share", "is %g, want 0 to 1", c.RetryBudgetShare)
+	}
+}
+
+func (v *validator) route(key string, r Route) {
+	if !slices.Contains(methods, r.Method) {
+		v.addf(key+".method", "is %q, want an HTTP method in upper case, or none for all methods", r.Method)
+	}
+	if reason := prefixFault(r.PathPrefix); reason != "" {
+		v.addf(key+".path_prefix", "%s", reason)
+	}
+	if _, ok := v.services[string(r.Service)]; !ok {
+		v.addf(key+".service", "no service %q in this configuration", r.Service)
+	}
+	if _, ok := v.classes[string(r.Class)]; !ok {
+		v.addf(key+".class", "no class %q in this configuration", r.Class)
+	}
+	match := matchKey{r.Service, r.Method, r.PathPrefix}
+	if before, ok := v.matches[match]; ok {
+		v.addf(key+".path_prefix", "%s has the same service, method and path prefix", before)
+		return
+	}
+	v.matches[match] = key
+}
+
+func prefixFault(prefix string) string {
+	switch {
+	case len(prefix) == 0 || len(prefix) > MaxPathPrefixBytes:
+		return fmt.Sprintf("has %d bytes, want 1 to %d", len(prefix), MaxPathPrefixBytes)
+	case prefix[0] != '/':
+		return fmt.Sprintf("%q does not start with a slash", prefix)
+	case prefix != "/" && prefix[len(prefix)-1] == '/':
+		return fmt.Sprintf("%q ends in a slash", prefix)
+	}
+	for i := range len(prefix) {
+		c := prefix[i]
+		if c <= ' ' || c > '~' || c == '?' || c == '#' {
+			return fmt.Sprintf("%q has a character that cannot stand in a path", prefix)
+		}
+		if c == '/' && i > 0 && prefix[i-1] == '/' {
+			return fmt.Sprintf("%q has an empty segment", prefix)
+		}
+	}
+	return ""
 }
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -9,9 +9,7 @@
 const MaxHistoryRows = 200
 
 // Publisher is the reducer of one node. It keeps only requests in progress.
-type Publisher struct {
-	nextID uint64
-}
+type Publisher struct{}
 
 // New returns a Publisher without requests.
 func New() *Publisher { return &Publisher{} }
--- /dev/null
+++ b/internal/tomldoc/fault.go
@@ -0,0 +1,66 @@
+package tomldoc
+
+import (
+	"strconv"
+	"strings"
+)
+
+// Fault is one error in a document.
+type Fault struct {
+	// File and Line locate the fault. They are empty and zero for values that
+	// were not read from a file.
+	File string `json:"file,omitempty"`
+	Line int    `json:"line,omitempty"`
+	// Key is the path of the value, such as "routes[2].service".
+	Key    string `json:"key"`
+	Reason string `json:"reason"`
+}
+
+// String returns the fault as "file:line: key: reason".
+func (f Fault) String() string {
+	var b strings.Builder
+	if f.File != "" {
+		b.WriteString(f.File + ":")
+	}
+	if f.Line > 0 {
+		b.WriteString(strconv.Itoa(f.Line) + ":")
+	}
+	if b.Len() > 0 {
+		b.WriteByte(' ')
+	}
+	if f.Key != "" {
+		b.WriteString(f.Key + ": ")
+	}
+	b.WriteString(f.Reason)
+	return b.String()
+}
+
+// Faults lists all faults of a document. It is an error if it is not empty.
+type Faults []Fault
+
+// Error returns the faults, one a line.
+func (f Faults) Error() string {
+	lines := make([]string, len(f))
+	for i, fault := range f {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// AsError returns f as an error, or nil if f is empty.
+func (f Faults) AsError() error {
+	if len(f) == 0 {
+		return nil
+	}
+	return f
+}
+
+// Has reports whether a fault of key is listed.
+func (f Faults) Has(key string) bool {
+	for _, fault := range f {
+		if fault.Key == key {
+			return true
+		}
+	}
+	return false
+}
