Add the platform's client and its development server

Publication and moves need a table and an object store with the failures of the real ones.

Package memstore holds rows and objects in memory, standin serves them over HTTP with faults and counters, and client maps every missing answer to the status Unknown and never sends an operation twice.

--- /dev/null
+++ b/internal/platform/client/call.go
@@ -0,0 +1,83 @@
+package client
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+	"github.com/chicoryscale/chicoryscale/internal/platform/wire"
+)
+
+// host is the value of the Host header; the connection's address is fixed.
+const host = "platform"
+
+// call is one HTTP exchange.
+type call struct {
+	step     string
+	request  *fasthttp.Request
+	response *fasthttp.Response
+}
+
+var steps = map[platform.Op]string{
+	platform.OpCommit:    "commit",
+	platform.OpRead:      "read",
+	platform.OpPutObject: "put object",
+	platform.OpGetObject: "get object",
+}
+
+func newCall(req *platform.Request) *call {
+	return &call{step: steps[req.Op], request: fasthttp.AcquireRequest(), response: fasthttp.AcquireResponse()}
+}
+
+func (c *call) release() {
+	fasthttp.ReleaseRequest(c.request)
+	fasthttp.ReleaseResponse(c.response)
+}
+
+// encode writes the request. It fails on a body that the server would refuse,
+// since the server closes the connection without reading such a body.
+func (c *call) encode(req *platform.Request) error {
+	if err := c.encodeOp(req); err != nil {
+		return err
+	}
+	if size := len(c.request.Body()); size > wire.MaxRequestBytes {
+		return fmt.Errorf("request has %d bytes, the limit is %d", size, wire.MaxRequestBytes)
+	}
+	return nil
+}
+
+func (c *call) encodeOp(req *platform.Request) error {
+	switch req.Op {
+	case platform.OpCommit:
+		return c.encodeJSON(wire.CommitPath, wire.CommitOf(&req.Txn))
+	case platform.OpRead:
+		return c.encodeJSON(wire.ReadPath, wire.Read{Keys: req.Keys, Prefixes: req.Prefixes})
+	case platform.OpPutObject:
+		c.encodeObject(fasthttp.MethodPut, req.Hash)
+		c.request.SetBody(req.Object)
+	case platform.OpGetObject:
+		c.encodeObject(fasthttp.MethodGet, req.Hash)
+	default:
+		return fmt.Errorf("operation %d is not known", req.Op)
+	}
+	return nil
+}
+
+func (c *call) encodeJSON(path string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	c.request.Header.SetMethod(fasthttp.MethodPost)
+	c.request.Header.SetContentType("application/json")
+	c.request.SetRequestURI("http://" + host + path)
+	c.request.SetBody(body)
+	return nil
+}
+
+func (c *call) encodeObject(method, hash string) {
+	c.request.Header.SetMethod(method)
+	c.request.SetRequestURI("http://" + host + wire.ObjectPrefix + hash)
+}
--- /dev/null
+++ b/internal/platform/client/client_test.go
@@ -0,0 +1,223 @@
+package client
+
+import (
+	"bufio"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+	"github.com/chicoryscale/chicoryscale/internal/platform/standin"
+	"github.com/chicoryscale/chicoryscale/internal/platform/wire"
+)
+
+const testTimeout = 10 * time.Second
+
+// start serves a stand-in on loopback until the test ends.
+func start(t *testing.T) (*standin.Server, *Client) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := standin.New(slog.New(slog.DiscardHandler), time.Now)
+	done := make(chan error, 1)
+	go func() { done <- server.Serve(ln) }()
+	c := New(Settings{Addr: ln.Addr().String(), Timeout: testTimeout, MaxConns: 4})
+	t.Cleanup(func() {
+		c.Close()
+		if err := server.Shutdown(); err != nil {
+			t.Error(err)
+		}
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return server, c
+}
+
+func commitOf(id, key, value string, revision platform.Revision) *platform.Request {
+	return &platform.Request{ID: 3, Op: platform.OpCommit, Txn: platform.Txn{ID: id,
+		Checks: []platform.Check{{Key: key, Revision: revision}},
+		Puts:   []platform.Put{{Key: key, Value: []byte(value)}}}}
+}
+
+func readOf(keys ...string) *platform.Request {
+	return &platform.Request{ID: 4, Op: platform.OpRead, Keys: keys}
+}
+
+// Guards against fields that are lost between client and server.
+func TestOperationsRoundTrip(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t)
+	res, err := c.Do(commitOf("t1", "a", "1", 0))
+	is.NoErr(err)
+	row := platform.Row{Key: "a", Value: []byte("1"), Revision: 1, Writer: "t1"}
+	is.Equal(res, platform.Result{ID: 3, Op: platform.OpCommit, Status: platform.OK, Rows: []platform.Row{row}})
+	res, err = c.Do(commitOf("t2", "a", "2", 0))
+	is.NoErr(err)
+	is.Equal(res.Status, platform.Conflict)
+	is.Equal(res.Rows, []platform.Row{row})
+	res, err = c.Do(&platform.Request{ID: 4, Op: platform.OpRead, Prefixes: []string{""}})
+	is.True(errorx.IsOfType(err, Refused)) // an empty prefix is refused
+	is.Equal(res.Status, platform.Invalid)
+	res, err = c.Do(readOf("a", "b"))
+	is.NoErr(err)
+	is.Equal(res.Rows, []platform.Row{row})
+}
+
+// Guards against an object that is stored under a hash other than its own.
+func TestObjects(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t)
+	sum := sha256.Sum256([]byte("x"))
+	hash := hex.EncodeToString(sum[:])
+	res, err := c.Do(&platform.Request{Op: platform.OpGetObject, Hash: hash})
+	is.NoErr(err)
+	is.Equal(res.Status, platform.NotFound)
+	res, err = c.Do(&platform.Request{Op: platform.OpPutObject, Hash: hash, Object: []byte("y")})
+	is.True(errorx.IsOfType(err, Refused))
+	is.Equal(res.Status, platform.Invalid)
+	res, err = c.Do(&platform.Request{Op: platform.OpPutObject, Hash: hash, Object: []byte("x")})
+	is.NoErr(err)
+	is.Equal(res.Status, platform.OK)
+	res, err = c.Do(&platform.Request{Op: platform.OpGetObject, Hash: hash})
+	is.NoErr(err)
+	is.Equal(string(res.Object), "x")
+}
+
+// Guards against a lost answer that is taken for a failed or a repeated write.
+func TestLostResponseIsUnknownAndTookEffect(t *testing.T) {
+	is := is.New(t)
+	server, c := start(t)
+	server.SetFaults(wire.Faults{LoseResponses: 1})
+	res, err := c.Do(commitOf("t1", "a", "1", 0))
+	is.True(errorx.IsOfType(err, Unanswered))
+	is.Equal(res.Status, platform.Unknown)
+	step, _ := errorx.ExtractProperty(err, Step)
+	is.Equal(step, "commit")
+	peer, _ := errorx.ExtractProperty(err, Peer)
+	is.Equal(peer, c.settings.Addr)
+	res, err = c.Do(readOf("a"))
+	is.NoErr(err)
+	is.Equal(res.Rows[0].Writer, "t1")
+	counters := server.Counters()
+	is.Equal(counters.Writes.Total, uint64(1)) // the client does not send again
+	is.Equal(counters.LostResponses, uint64(1))
+}
+
+// Guards against a write that takes effect while the platform is unavailable.
+func TestUnavailableHasNoEffect(t *testing.T) {
+	is := is.New(t)
+	server, c := start(t)
+	server.SetFaults(wire.Faults{Unavailable: true})
+	res, err := c.Do(commitOf("t1", "a", "1", 0))
+	is.True(errorx.IsOfType(err, Unanswered))
+	is.Equal(res.Status, platform.Unknown)
+	server.SetFaults(wire.Faults{})
+	res, err = c.Do(readOf("a"))
+	is.NoErr(err)
+	is.Equal(len(res.Rows), 0)
+}
+
+// Guards against a slow platform that holds an operation past its timeout.
+func TestTimeout(t *testing.T) {
+	is := is.New(t)
+	server, c := start(t)
+	server.SetFaults(wire.Faults{DelayMillis: 300})
+	slow := New(Settings{Addr: c.settings.Addr, Timeout: 20 * time.Millisecond, MaxConns: 1})
+	defer slow.Close()
+	res, err := slow.Do(readOf("a"))
+	is.True(errorx.IsOfType(err, Unanswered))
+	is.Equal(res.Status, platform.Unknown)
+}
+
+// Guards against a client that reports a refused connection as anything but
+// an unknown result.
+func TestNoServer(t *testing.T) {
+	is := is.New(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := ln.Addr().String()
+	is.NoErr(ln.Close())
+	res, err := New(Settings{Addr: addr, Timeout: testTimeout, MaxConns: 1}).Do(readOf("a"))
+	is.True(errorx.IsOfType(err, Unanswered))
+	is.Equal(res.Status, platform.Unknown)
+}
+
+func send(t *testing.T, method, url string, body []byte) (int, []byte) {
+	t.Helper()
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	req.Header.SetMethod(method)
+	req.SetRequestURI(url)
+	req.SetBody(body)
+	if err := fasthttp.DoTimeout(req, resp, testTimeout); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode(), resp.Body()
+}
+
+// Guards against an administrator who cannot set faults or read counters.
+func TestAdminEndpoints(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t)
+	base := "http://" + c.settings.Addr
+	status, _ := send(t, "PUT", base+wire.FaultsPath, []byte(`{"unavailable":true,"lose_responses":2}`))
+	is.Equal(status, fasthttp.StatusNoContent)
+	_, body := send(t, "GET", base+wire.FaultsPath, nil)
+	var faults wire.Faults
+	is.NoErr(json.Unmarshal(body, &faults))
+	is.Equal(faults, wire.Faults{Unavailable: true, LoseResponses: 2})
+	_, err := c.Do(readOf("a"))
+	is.True(err != nil)
+	_, body = send(t, "GET", base+wire.CountersPath, nil)
+	var counters wire.Counters
+	is.NoErr(json.Unmarshal(body, &counters))
+	is.Equal(counters.Reads.Total, uint64(1))
+	is.Equal(counters.Reads.Peak, uint64(1))
+	is.Equal(counters.Refused, uint64(1))
+}
+
+// Guards against malformed or oversized input that is accepted or that stops
+// the server.
+func TestMalformedRequestsAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t)
+	base := "http://" + c.settings.Addr
+	for _, body := range []string{"", "{", `{"id":"t"} x`, `{"id":"t","other":1}`, `[]`, `{"id":""}`} {
+		status, _ := send(t, "POST", base+wire.CommitPath, []byte(body))
+		is.Equal(status, fasthttp.StatusBadRequest)
+	}
+	status, _ := send(t, "PUT", base+wire.FaultsPath, []byte(`{"delay_ms":60001}`))
+	is.Equal(status, fasthttp.StatusBadRequest)
+	status, _ = send(t, "GET", base+"/other", nil)
+	is.Equal(status, fasthttp.StatusNotFound)
+}
+
+// Guards against a server that reads an oversized body, and against a client
+// that sends one and takes the closed connection for a lost answer.
+func TestOversizedRequestsAreRefused(t *testing.T) {
+	is := is.New(t)
+	_, c := start(t)
+	conn, err := net.Dial("tcp", c.settings.Addr)
+	is.NoErr(err)
+	defer conn.Close()
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: p\r\nContent-Length: %d\r\n\r\n", wire.ReadPath, wire.MaxRequestBytes+1)
+	is.NoErr(err)
+	line, err := bufio.NewReader(conn).ReadString('\n')
+	is.NoErr(err)
+	is.Equal(line, "HTTP/1.1 413 Request Entity Too Large\r\n")
+
+	res, err := c.Do(&platform.Request{Op: platform.OpPutObject, Hash: "00", Object: make([]byte, wire.MaxRequestBytes+1)})
+	is.True(errorx.IsOfType(err, Refused))
+	is.Equal(res.Status, platform.Invalid)
+}
--- /dev/null
+++ b/internal/platform/standin/server.go
@@ -0,0 +1,152 @@
+// Package standin is the development server of the platform's table and object
+// store. It keeps its state in memory and can be made unavailable, slow, or
+// made to lose responses after a write has taken effect.
+package standin
+
+import (
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+	"github.com/chicoryscale/chicoryscale/internal/platform/memstore"
+	"github.com/chicoryscale/chicoryscale/internal/platform/wire"
+)
+
+// Limits of the server.
+const (
+	// MaxDelayMillis is the longest delay that can be set, in milliseconds.
+	MaxDelayMillis = 60_000
+
+	readTimeout = 30 * time.Second
+	idleTimeout = 5 * time.Minute
+)
+
+// Server is the development server. It is safe for concurrent use.
+type Server struct {
+	log  *slog.Logger
+	now  func() time.Time
+	http fasthttp.Server
+
+	mu        sync.Mutex
+	store     *memstore.Store
+	faults    wire.Faults
+	reads     rate
+	writes    rate
+	conflicts uint64
+	refused   uint64
+	lost      uint64
+}
+
+// New returns a server with an empty store. The clock now counts operations
+// per second.
+func New(log *slog.Logger, now func() time.Time) *Server {
+	s := &Server{log: log, now: now, store: memstore.New()}
+	s.http = fasthttp.Server{
+		Handler:               s.handle,
+		ErrorHandler:          handleError,
+		MaxRequestBodySize:    wire.MaxRequestBytes,
+		ReadTimeout:           readTimeout,
+		IdleTimeout:           idleTimeout,
+		NoDefaultServerHeader: true,
+		CloseOnShutdown:       true,
+		Logger:                quietLogger{},
+	}
+	return s
+}
+
+// quietLogger drops fasthttp's lines about connections that peers close.
+type quietLogger struct{}
+
+func (quietLogger) Printf(string, ...any) {}
+
+// Serve accepts connections until Shutdown. It closes ln.
+func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
+
+// Shutdown stops accepting connections and waits for requests in progress.
+func (s *Server) Shutdown() error { return s.http.Shutdown() }
+
+// outcome is what the server does with one operation.
+type outcome struct {
+	result platform.Result
+	// unavailable is set if the operation was refused without effect.
+	unavailable bool
+	// lose is set if the operation took effect and its response is dropped.
+	lose bool
+}
+
+// execute runs one operation under the faults in force.
+func (s *Server) execute(req *platform.Request) outcome {
+	if delay := s.arrive(req.Op); delay > 0 {
+		time.Sleep(delay)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Unavailable {
+		s.refused++
+		return outcome{unavailable: true}
+	}
+	out := outcome{result: s.store.Execute(req)}
+	switch out.result.Status {
+	case platform.Conflict:
+		s.conflicts++
+	case platform.Invalid:
+		s.refused++
+	case platform.OK:
+		if isWrite(req.Op) && s.faults.LoseResponses > 0 {
+			s.faults.LoseResponses--
+			s.lost++
+			out.lose = true
+		}
+	}
+	return out
+}
+
+// arrive counts an operation and returns its delay.
+func (s *Server) arrive(op platform.Op) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if isWrite(op) {
+		s.writes.add(s.now())
+	} else {
+		s.reads.add(s.now())
+	}
+	return time.Duration(s.faults.DelayMillis) * time.Millisecond
+}
+
+func isWrite(op platform.Op) bool {
+	return op == platform.OpCommit || op == platform.OpPutObject
+}
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(faults wire.Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = faults
+	s.log.Info("faults changed", "unavailable", faults.Unavailable,
+		"delay_ms", faults.DelayMillis, "lose_responses", faults.LoseResponses)
+}
+
+// Faults returns the faults in force.
+func (s *Server) Faults() wire.Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// Counters returns the counters since the start.
+func (s *Server) Counters() wire.Counters {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.now()
+	return wire.Counters{
+		Reads:         s.reads.snapshot(now),
+		Writes:        s.writes.snapshot(now),
+		Conflicts:     s.conflicts,
+		Refused:       s.refused,
+		LostResponses: s.lost,
+	}
+}
