Add the publication protocol

Several operators publish through several nodes, and the platform may lose any answer. A version number must have one meaning and an accepted operation must not be lost or run twice.

--- a/internal/config/helpers_test.go
+++ b/internal/config/helpers_test.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"flag"
 	"os"
 	"testing"
 
@@ -8,6 +9,13 @@
 	"pgregory.net/rapid"
 )
 
+// Property tests draw the same values in each run, unless -rapid.seed is given.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
 func readFes(t testing.TB) *Snapshot {
 	t.Helper()
 	data, err := os.ReadFile("testdata/fes.toml")
--- a/internal/platform/rows.go
+++ b/internal/platform/rows.go
@@ -57,11 +57,15 @@
 	Note     string    `json:"note"`
 }
 
-// Operation is the value of an operation row: the version that the operation
-// created.
+// Operation is the value of an operation row: the row that an operator's
+// operation created. An operation that is sent again finds its result here.
 type Operation struct {
-	Version mesh.ConfigVersion `json:"version"`
-	Hash    string             `json:"hash"`
+	// Key is the key of the row created.
+	Key string `json:"key"`
+	// Version is the configuration version created, or zero.
+	Version mesh.ConfigVersion `json:"version,omitempty"`
+	// Hash is the SHA-256 in hex of the operation's content.
+	Hash string `json:"hash"`
 }
 
 // Withdrawal is the value of a withdrawal row.
--- a/internal/publish/types.go
+++ b/internal/publish/types.go
@@ -77,14 +77,28 @@
 	// NotFound means that the move does not exist.
 	NotFound
 	// Unavailable means that the platform did not answer before the deadline
-	// and that this send has changed nothing.
+	// and that this send has changed nothing. An earlier send may have.
 	Unavailable
 	// Unsettled means that the platform did not answer before the deadline and
 	// that the request may yet take effect. Sending the same operation ID
 	// again gives its result.
 	Unsettled
+	// Failed means that the platform's rows are malformed or missing. This
+	// send has changed nothing.
+	Failed
 )
 
+var statusNames = [...]string{Done: "done", Conflict: "conflict", Rejected: "rejected",
+	NotFound: "not-found", Unavailable: "unavailable", Unsettled: "unsettled", Failed: "failed"}
+
+// String returns the status as it stands in the operator commands' output.
+func (s Status) String() string {
+	if s == 0 || int(s) >= len(statusNames) {
+		return "unknown"
+	}
+	return statusNames[s]
+}
+
 // Reply is the result of a request.
 type Reply struct {
 	Request RequestID
