--- a/internal/config/validate.go
+++ b/internal/config/validate.go
@@ -1,6 +1,7 @@
 package config
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -80,6 +81,15 @@
 	}
 }
 
+// CheckName refuses a name that no resource may have. Hosts and instances
+// follow the same rule.
+func CheckName(name string) error {
+	if reason := nameFault(name); reason != "" {
+		return errors.New(reason)
+	}
+	return nil
+}
+
 // nameFault returns why a name is invalid. Names exclude the dot and the
 // slash, which separate parts of request identities and table keys.
 func nameFault(name string) string {
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -23,54 +23,73 @@
 
 // Settings of a Client.
 type Settings struct {
-	// Addr is the platform's address as "IP:port".
-	Addr string
+	// TableAddr and ObjectAddr are the addresses of the table and of the object
+	// store as "IP:port". They may be the same.
+	TableAddr  string
+	ObjectAddr string
 	// Timeout bounds one operation, from dialling to the last byte.
 	Timeout time.Duration
-	// MaxConns is the largest number of connections.
+	// MaxConns is the largest number of connections to each of the two.
 	MaxConns int
 }
 
 // Client sends operations to the platform. It is safe for concurrent use.
 type Client struct {
-	settings Settings
-	http     fasthttp.HostClient
+	timeout time.Duration
+	table   *fasthttp.HostClient
+	objects *fasthttp.HostClient
 }
 
 // New returns a client. It opens connections when they are first needed.
 func New(settings Settings) *Client {
 	return &Client{
-		settings: settings,
-		http: fasthttp.HostClient{
-			Addr:                     settings.Addr,
-			MaxConns:                 settings.MaxConns,
-			MaxIdleConnDuration:      maxIdle,
-			MaxConnWaitTimeout:       settings.Timeout,
-			MaxResponseBodySize:      MaxResponseBytes,
-			NoDefaultUserAgentHeader: true,
-			// The reducers decide whether an operation is sent again.
-			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		},
+		timeout: settings.Timeout,
+		table:   newHostClient(settings.TableAddr, &settings),
+		objects: newHostClient(settings.ObjectAddr, &settings),
+	}
+}
+
+func newHostClient(addr string, settings *Settings) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                     addr,
+		MaxConns:                 settings.MaxConns,
+		MaxIdleConnDuration:      maxIdle,
+		MaxConnWaitTimeout:       settings.Timeout,
+		MaxResponseBodySize:      MaxResponseBytes,
+		NoDefaultUserAgentHeader: true,
+		// The reducers decide whether an operation is sent again.
+		RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 	}
 }
 
 // Close closes the connections that are not in use.
-func (c *Client) Close() { c.http.CloseIdleConnections() }
+func (c *Client) Close() {
+	c.table.CloseIdleConnections()
+	c.objects.CloseIdleConnections()
+}
+
+// peer returns the connections that serve an operation.
+func (c *Client) peer(op platform.Op) *fasthttp.HostClient {
+	if op == platform.OpPutObject || op == platform.OpGetObject {
+		return c.objects
+	}
+	return c.table
+}
 
 // Do runs one operation. A result with the status Unknown or Invalid comes
 // with an error of type Unanswered or Refused; the result itself is always
 // usable as an event.
 func (c *Client) Do(req *platform.Request) (platform.Result, error) {
-	call := newCall(req)
+	call, peer := newCall(req), c.peer(req.Op)
 	defer call.release()
 	res := platform.Result{ID: req.ID, Op: req.Op}
 	err := call.encode(req)
 	if err != nil {
-		err = c.fail(Refused, call.step, err)
-	} else if sendErr := c.http.DoTimeout(call.request, call.response, c.settings.Timeout); sendErr != nil {
-		err = c.fail(Unanswered, call.step, sendErr)
+		err = fail(Refused, call.step, peer.Addr, err)
+	} else if sendErr := peer.DoTimeout(call.request, call.response, c.timeout); sendErr != nil {
+		err = fail(Unanswered, call.step, peer.Addr, sendErr)
 	} else {
-		err = c.read(call, &res)
+		err = read(call, peer.Addr, &res)
 	}
 	if err != nil {
 		res.Status, res.Rows, res.Object = platform.Unknown, nil, nil
@@ -82,17 +101,17 @@
 	return res, err
 }
 
-func (c *Client) fail(kind *errorx.Type, step string, cause error) error {
+func fail(kind *errorx.Type, step, peer string, cause error) error {
 	return kind.Wrap(cause, "platform operation failed").
-		WithProperty(Step, step).WithProperty(Peer, c.settings.Addr)
+		WithProperty(Step, step).WithProperty(Peer, peer)
 }
 
 // read fills res from the response.
-func (c *Client) read(call *call, res *platform.Result) error {
+func read(call *call, peer string, res *platform.Result) error {
 	status, body := call.response.StatusCode(), call.response.Body()
 	switch {
 	case status == fasthttp.StatusBadRequest || status == fasthttp.StatusRequestEntityTooLarge:
-		return c.fail(Refused, call.step, fmt.Errorf("status %d: %s", status, reasonOf(body)))
+		return fail(Refused, call.step, peer, fmt.Errorf("status %d: %s", status, reasonOf(body)))
 	case status == fasthttp.StatusNotFound && res.Op == platform.OpGetObject:
 		res.Status = platform.NotFound
 		return nil
@@ -101,10 +120,10 @@
 	case status == fasthttp.StatusOK || status == fasthttp.StatusNoContent:
 		res.Status = platform.OK
 	default:
-		return c.fail(Unanswered, call.step, fmt.Errorf("status %d: %s", status, reasonOf(body)))
+		return fail(Unanswered, call.step, peer, fmt.Errorf("status %d: %s", status, reasonOf(body)))
 	}
 	if err := readBody(body, res); err != nil {
-		return c.fail(Unanswered, call.step, err)
+		return fail(Unanswered, call.step, peer, err)
 	}
 	return nil
 }
--- a/internal/platform/client/client_test.go
+++ b/internal/platform/client/client_test.go
@@ -22,6 +22,10 @@
 
 const testTimeout = 10 * time.Second
 
+func settingsOf(addr string, timeout time.Duration) Settings {
+	return Settings{TableAddr: addr, ObjectAddr: addr, Timeout: timeout, MaxConns: 4}
+}
+
 // start serves a stand-in on loopback until the test ends.
 func start(t *testing.T) (*standin.Server, *Client) {
 	t.Helper()
@@ -32,7 +36,7 @@
 	server := standin.New(slog.New(slog.DiscardHandler), time.Now)
 	done := make(chan error, 1)
 	go func() { done <- server.Serve(ln) }()
-	c := New(Settings{Addr: ln.Addr().String(), Timeout: testTimeout, MaxConns: 4})
+	c := New(settingsOf(ln.Addr().String(), testTimeout))
 	t.Cleanup(func() {
 		c.Close()
 		if err := server.Shutdown(); err != nil {
@@ -106,7 +110,7 @@
 	step, _ := errorx.ExtractProperty(err, Step)
 	is.Equal(step, "commit")
 	peer, _ := errorx.ExtractProperty(err, Peer)
-	is.Equal(peer, c.settings.Addr)
+	is.Equal(peer, c.table.Addr)
 	res, err = c.Do(readOf("a"))
 	is.NoErr(err)
 	is.Equal(res.Rows[0].Writer, "t1")
@@ -134,7 +138,7 @@
 	is := is.New(t)
 	server, c := start(t)
 	server.SetFaults(wire.Faults{DelayMillis: 300})
-	slow := New(Settings{Addr: c.settings.Addr, Timeout: 20 * time.Millisecond, MaxConns: 1})
+	slow := New(settingsOf(c.table.Addr, 20*time.Millisecond))
 	defer slow.Close()
 	res, err := slow.Do(readOf("a"))
 	is.True(errorx.IsOfType(err, Unanswered))
@@ -149,7 +153,7 @@
 	is.NoErr(err)
 	addr := ln.Addr().String()
 	is.NoErr(ln.Close())
-	res, err := New(Settings{Addr: addr, Timeout: testTimeout, MaxConns: 1}).Do(readOf("a"))
+	res, err := New(settingsOf(addr, testTimeout)).Do(readOf("a"))
 	is.True(errorx.IsOfType(err, Unanswered))
 	is.Equal(res.Status, platform.Unknown)
 }
@@ -170,7 +174,7 @@
 func TestAdminEndpoints(t *testing.T) {
 	is := is.New(t)
 	_, c := start(t)
-	base := "http://" + c.settings.Addr
+	base := "http://" + c.table.Addr
 	status, _ := send(t, "PUT", base+wire.FaultsPath, []byte(`{"unavailable":true,"lose_responses":2}`))
 	is.Equal(status, fasthttp.StatusNoContent)
 	_, body := send(t, "GET", base+wire.FaultsPath, nil)
@@ -192,7 +196,7 @@
 func TestMalformedRequestsAreRefused(t *testing.T) {
 	is := is.New(t)
 	_, c := start(t)
-	base := "http://" + c.settings.Addr
+	base := "http://" + c.table.Addr
 	for _, body := range []string{"", "{", `{"id":"t"} x`, `{"id":"t","other":1}`, `[]`, `{"id":""}`} {
 		status, _ := send(t, "POST", base+wire.CommitPath, []byte(body))
 		is.Equal(status, fasthttp.StatusBadRequest)
@@ -208,7 +212,7 @@
 func TestOversizedRequestsAreRefused(t *testing.T) {
 	is := is.New(t)
 	_, c := start(t)
-	conn, err := net.Dial("tcp", c.settings.Addr)
+	conn, err := net.Dial("tcp", c.table.Addr)
 	is.NoErr(err)
 	defer conn.Close()
 	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: p\r\nContent-Length: %d\r\n\r\n", wire.ReadPath, wire.MaxRequestBytes+1)
--- /dev/null
+++ b/internal/settings/ctl.go
@@ -0,0 +1,24 @@
+package settings
+
+import "time"
+
+// Ctl holds the settings of chicoryctl.
+type Ctl struct {
+	// Nodes are control addresses of nodes, tried in order.
+	Nodes []string
+	// Operator is the name recorded with changes.
+	Operator string
+	// Timeout bounds one command.
+	Timeout time.Duration
+}
+
+// ParseCtl reads the settings of chicoryctl.
+func ParseCtl(file string, data []byte) (*Ctl, error) { return parse(file, data, readCtl) }
+
+func readCtl(t table) *Ctl {
+	return &Ctl{
+		Nodes:    t.addresses("nodes", 1, 32),
+		Operator: t.name("operator"),
+		Timeout:  t.millis("timeout_ms", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
+	}
+}
--- a/internal/tomldoc/table.go
+++ b/internal/tomldoc/table.go
@@ -42,6 +42,9 @@
 // Has reports whether t has a value for name.
 func (t *Table) Has(name string) bool { return t.values[name] != nil }
 
+// HasFault reports whether a fault of a key of t has been recorded.
+func (t *Table) HasFault(name string) bool { return t.doc.faults.Has(t.join(name)) }
+
 // Addf records a fault of a key of t.
 func (t *Table) Addf(name, format string, args ...any) {
 	line := t.line
