--- a/internal/platform/client/client_test.go
+++ b/internal/platform/client/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -33,15 +34,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := standin.New(slog.New(slog.DiscardHandler), time.Now)
+	server := standin.New(standin.Options{Log: slog.New(slog.DiscardHandler), Now: time.Now, Connections: 64})
+	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- server.Serve(ln) }()
+	go func() { done <- server.Run(ctx, ln) }()
 	c := New(settingsOf(ln.Addr().String(), testTimeout))
 	t.Cleanup(func() {
 		c.Close()
-		if err := server.Shutdown(); err != nil {
-			t.Error(err)
-		}
+		stop()
 		if err := <-done; err != nil {
 			t.Error(err)
 		}
--- a/internal/platform/standin/server.go
+++ b/internal/platform/standin/server.go
@@ -4,6 +4,7 @@
 package standin
 
 import (
+	"context"
 	"log/slog"
 	"net"
 	"sync"
@@ -41,12 +42,21 @@
 	lost      uint64
 }
 
-// New returns a server with an empty store. The clock now counts operations
-// per second.
-func New(log *slog.Logger, now func() time.Time) *Server {
-	s := &Server{log: log, now: now, store: memstore.New()}
+// Options of a Server.
+type Options struct {
+	Log *slog.Logger
+	// Now is the clock by which operations are counted per second.
+	Now func() time.Time
+	// Connections is the largest number of open connections.
+	Connections int
+}
+
+// New returns a server with an empty store.
+func New(options Options) *Server {
+	s := &Server{log: options.Log, now: options.Now, store: memstore.New()}
 	s.http = fasthttp.Server{
 		Handler:               s.handle,
+		Concurrency:           options.Connections,
 		ErrorHandler:          handleError,
 		MaxRequestBodySize:    wire.MaxRequestBytes,
 		ReadTimeout:           readTimeout,
@@ -63,11 +73,21 @@
 
 func (quietLogger) Printf(string, ...any) {}
 
-// Serve accepts connections until Shutdown. It closes ln.
-func (s *Server) Serve(ln net.Listener) error { return s.http.Serve(ln) }
-
-// Shutdown stops accepting connections and waits for requests in progress.
-func (s *Server) Shutdown() error { return s.http.Shutdown() }
+// Run serves connections of ln until ctx is cancelled. It then waits for
+// requests in progress. It closes ln.
+func (s *Server) Run(ctx context.Context, ln net.Listener) error {
+	served := make(chan error, 1)
+	go func() { served <- s.http.Serve(ln) }()
+	select {
+	case err := <-served:
+		return err
+	case <-ctx.Done():
+	}
+	if err := s.http.Shutdown(); err != nil {
+		return err
+	}
+	return <-served
+}
 
 // outcome is what the server does with one operation.
 type outcome struct {
