--- /dev/null
+++ b/internal/membership/record.go
@@ -0,0 +1,136 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+// State is the state of a member. A higher state supersedes a lower one of
+// the same incarnation.
+type State uint8
+
+// States of a member.
+const (
+	// Alive means that the member answers its neighbours.
+	Alive State = iota + 1
+	// Suspect means that a neighbour has not heard from the member for
+	// SuspectAfter.
+	Suspect
+	// Dead means that a neighbour of the same failure domain has not heard
+	// from the member for DeadAfter.
+	Dead
+	// Left means that the member announced a graceful stop.
+	Left
+	// Forgotten means that an operator declared the host permanently lost.
+	// Only a process started after the declaration can join again.
+	Forgotten
+)
+
+var stateNames = [...]string{Alive: "alive", Suspect: "suspect", Dead: "dead", Left: "left", Forgotten: "forgotten"}
+
+// String returns the name of the state for logs and operators.
+func (s State) String() string {
+	if s == 0 || int(s) >= len(stateNames) {
+		return "unknown"
+	}
+	return stateNames[s]
+}
+
+// Backend is a backend server as it is announced to other hosts.
+type Backend struct {
+	Instance mesh.InstanceID
+	Service  mesh.Service
+	Version  mesh.BackendVersion
+	Slots    uint16
+	// Draining is set once the backend server takes no new work.
+	Draining bool
+}
+
+// Record describes a host as its node announces it. Records are immutable:
+// a change produces a new record that supersedes the old one.
+type Record struct {
+	Host   mesh.HostID
+	Domain mesh.FailureDomain
+	// ControlAddr and CallAddr are "ip:port".
+	ControlAddr string
+	CallAddr    string
+	// Incarnation is Started, or a higher value after the node refuted a
+	// report that it is suspect or dead.
+	Incarnation mesh.Incarnation
+	// Started is the start time of the process. Two records with different
+	// values describe different processes.
+	Started mesh.Incarnation
+	State   State
+	// Revision counts the changes of the record within an incarnation.
+	Revision uint32
+	// Established is set once the node knows its version floor.
+	Established bool
+	// Backends is sorted by instance.
+	Backends []Backend
+}
+
+// Live reports whether the member takes part in the tree: it is alive or
+// suspect.
+func (r *Record) Live() bool { return r.State == Alive || r.State == Suspect }
+
+// Supersedes reports whether r is newer than other in the order (incarnation,
+// state, revision).
+func (r *Record) Supersedes(other *Record) bool {
+	if r.Incarnation != other.Incarnation {
+		return r.Incarnation > other.Incarnation
+	}
+	if r.State != other.State {
+		return r.State > other.State
+	}
+	return r.Revision > other.Revision
+}
+
+// ID returns the part of the record that orders it.
+func (r *Record) ID() RecordID {
+	return RecordID{Host: r.Host, Incarnation: r.Incarnation, State: r.State, Revision: r.Revision}
+}
+
+// hash returns the contribution of the record to its domain's digest.
+func (r *Record) hash() uint64 {
+	buf := make([]byte, 0, 64)
+	buf = append(buf, r.Host...)
+	buf = appendUint64(buf, uint64(r.Incarnation))
+	buf = append(buf, byte(r.State))
+	buf = appendUint64(buf, uint64(r.Revision))
+	return xxhash.Sum64(buf)
+}
+
+func appendUint64(buf []byte, v uint64) []byte {
+	for shift := 0; shift < 64; shift += 8 {
+		buf = append(buf, byte(v>>shift))
+	}
+	return buf
+}
+
+// withState returns a copy of r in another state. Members that are not live
+// serve no calls, so their backend servers are dropped.
+func (r *Record) withState(s State) Record {
+	next := *r
+	next.State = s
+	if !next.Live() {
+		next.Backends = nil
+	}
+	return next
+}
+
+func (r *Record) clone() *Record {
+	next := *r
+	next.Backends = slices.Clone(r.Backends)
+	return &next
+}
+
+// RecordID identifies one state of a member's record.
+type RecordID struct {
+	Host        mesh.HostID
+	Incarnation mesh.Incarnation
+	State       State
+	Revision    uint32
+}
