--- /dev/null
+++ b/internal/membership/repair.go
@@ -0,0 +1,195 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const (
+	// quietPeriod is the time without changes after which differing digests
+	// mean a lost record rather than one on its way.
+	quietPeriod = 1500 * time.Millisecond
+	// mismatchPatience is the time after which a neighbour with a differing
+	// digest is repaired even while other records change.
+	mismatchPatience = 5 * time.Second
+	// repairInterval bounds the repairs that a node offers.
+	repairInterval = time.Second
+	// wantInterval is the time between two requests for all records of the
+	// same failure domain.
+	wantInterval = 10 * time.Second
+	// wantRatio is the ratio of record counts from which all records of a
+	// failure domain are requested without a comparison.
+	wantRatio = 4
+	// maxRepairBuckets bounds the buckets listed in one step of a repair.
+	maxRepairBuckets = 6
+	// maxWants bounds the records requested in one step of a repair.
+	maxWants = 256
+)
+
+// repairDue decides whether a differing digest of a peer is worth a repair.
+func (r *Reducer) repairDue(now mesh.Time, from mesh.HostID, digest uint64) bool {
+	l := r.links[from]
+	if digest == r.table.digest {
+		if l != nil {
+			l.synced, l.mismatchSince = true, 0
+		}
+		return false
+	}
+	if now < r.nextRepair {
+		return false
+	}
+	due := now.Sub(r.lastChange) >= quietPeriod
+	if l != nil {
+		if l.mismatchSince == 0 {
+			l.mismatchSince = now
+		}
+		due = due || !l.synced || now.Sub(l.mismatchSince) >= mismatchPatience
+	}
+	if box := r.outboxes.boxes[from]; box != nil && !box.empty() {
+		due = false
+	}
+	if !due {
+		return false
+	}
+	if l != nil {
+		l.synced, l.mismatchSince = true, now
+	}
+	r.nextRepair = now.Add(repairInterval)
+	return true
+}
+
+func (r *Reducer) domainDigests() []DomainDigest {
+	digests := make([]DomainDigest, 0, len(r.table.names))
+	for _, name := range r.table.names {
+		d := r.table.domains[name]
+		digests = append(digests, DomainDigest{Domain: name, Digest: d.digest, Count: uint32(len(d.hosts))})
+	}
+	return digests
+}
+
+// repair handles one step and answers with the next one.
+func (r *Reducer) repair(now mesh.Time, from mesh.HostID, step *Repair, out *Output) {
+	if step == nil {
+		return
+	}
+	var next Repair
+	r.compareDigests(now, from, step.Digests, &next)
+	r.compareBuckets(step.Buckets, &next)
+	r.compareSummaries(from, step.Summaries, &next)
+	for _, host := range step.Wants {
+		r.queueFor(from, host)
+	}
+	for _, domain := range step.WantDomains {
+		r.queueDomain(from, domain)
+	}
+	if next.empty() {
+		return
+	}
+	r.send(from, Message{Kind: KindRepair, Repair: &next}, out)
+}
+
+func (s *Repair) empty() bool {
+	return len(s.Digests)+len(s.Buckets)+len(s.Summaries)+len(s.Wants)+len(s.WantDomains) == 0
+}
+
+func (r *Reducer) queueDomain(peer mesh.HostID, domain mesh.FailureDomain) {
+	for _, host := range r.table.domain(domain).hosts {
+		r.queueFor(peer, host)
+	}
+}
+
+func (r *Reducer) queueFor(peer, host mesh.HostID) {
+	if rec := r.table.records[host]; rec != nil {
+		r.outboxes.add(peer, host, rec.Domain == r.settings.Domain)
+	}
+}
+
+// compareDigests answers the digests of all failure domains with the buckets
+// of those that differ. Where one side has few records of a failure domain,
+// the other sends all of them without a comparison.
+func (r *Reducer) compareDigests(now mesh.Time, from mesh.HostID, theirs []DomainDigest, next *Repair) {
+	listed := make(map[mesh.FailureDomain]bool, len(theirs))
+	for i := range theirs {
+		listed[theirs[i].Domain] = true
+		mine := r.table.domain(theirs[i].Domain)
+		switch {
+		case mine.digest == theirs[i].Digest:
+		case len(mine.hosts)*wantRatio <= int(theirs[i].Count):
+			r.wantDomain(now, theirs[i].Domain, next)
+		case int(theirs[i].Count)*wantRatio <= len(mine.hosts):
+			r.queueDomain(from, theirs[i].Domain)
+		default:
+			next.Buckets = append(next.Buckets, BucketDigests{Domain: theirs[i].Domain, Digests: mine.buckets[:]})
+		}
+	}
+	for _, name := range r.table.names {
+		if len(theirs) > 0 && !listed[name] {
+			r.queueDomain(from, name)
+		}
+	}
+}
+
+func (r *Reducer) wantDomain(now mesh.Time, domain mesh.FailureDomain, next *Repair) {
+	if now < r.wantedUntil[domain] {
+		return
+	}
+	r.wantedUntil[domain] = now.Add(wantInterval)
+	next.WantDomains = append(next.WantDomains, domain)
+}
+
+// compareBuckets answers bucket digests with the records of those that differ.
+func (r *Reducer) compareBuckets(theirs []BucketDigests, next *Repair) {
+	for i := range theirs {
+		mine := r.table.domain(theirs[i].Domain)
+		if len(theirs[i].Digests) != digestBuckets {
+			continue
+		}
+		for bucket, digest := range theirs[i].Digests {
+			if mine.buckets[bucket] == digest || len(next.Summaries) >= maxRepairBuckets {
+				continue
+			}
+			next.Summaries = append(next.Summaries, BucketSummary{
+				Domain: theirs[i].Domain, Bucket: uint8(bucket), IDs: r.recordIDs(mine, bucket),
+			})
+		}
+	}
+}
+
+func (r *Reducer) recordIDs(d *domainTable, bucket int) []RecordID {
+	var ids []RecordID
+	for _, host := range d.hosts {
+		if keyOf(host).bucket() == bucket {
+			ids = append(ids, r.table.records[host].ID())
+		}
+	}
+	return ids
+}
+
+// compareSummaries queues records that are newer here and asks for those that
+// are newer at the peer.
+func (r *Reducer) compareSummaries(from mesh.HostID, theirs []BucketSummary, next *Repair) {
+	for i := range theirs {
+		listed := make(map[mesh.HostID]bool, len(theirs[i].IDs))
+		for _, id := range theirs[i].IDs {
+			listed[id.Host] = true
+			r.compareRecord(from, id, next)
+		}
+		for _, host := range r.table.domain(theirs[i].Domain).hosts {
+			if !listed[host] && keyOf(host).bucket() == int(theirs[i].Bucket) {
+				r.queueFor(from, host)
+			}
+		}
+	}
+}
+
+func (r *Reducer) compareRecord(from mesh.HostID, id RecordID, next *Repair) {
+	theirs := Record{Incarnation: id.Incarnation, State: id.State, Revision: id.Revision}
+	mine := r.table.records[id.Host]
+	switch {
+	case mine != nil && mine.Supersedes(&theirs):
+		r.queueFor(from, id.Host)
+	case (mine == nil || theirs.Supersedes(mine)) && len(next.Wants) < maxWants:
+		next.Wants = append(next.Wants, id.Host)
+	}
+}
