Implement the distribution reducer

Cause: internal/distribution had signatures only. Change: head polling by readers, the fresh-head floor with a nonce and coalesced reads, pushes of deltas over the links, pulls of deltas or compressed full content, the object store as the last source, checks of hash, references, order and floor before an apply, rejections and acknowledgements aggregated over the tree, items ordered by step, and merged aggregates.

--- /dev/null
+++ b/internal/distribution/acks.go
@@ -0,0 +1,139 @@
+package distribution
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const (
+	// MaxMissing is the number of hosts without a version that are named.
+	// Beyond it they are only counted.
+	MaxMissing = 16
+	// ackLife is the time for which a child's acknowledgement counts.
+	ackLife = 5 * time.Second
+)
+
+// subtreeAck returns the acknowledgement of this node and its children's
+// subtrees for the head.
+func (r *Reducer) subtreeAck(now mesh.Time) Ack {
+	ack := r.ownAck()
+	for _, child := range r.topology.Children() {
+		p := r.peers[child]
+		if p == nil || p.ack == nil || now.Sub(p.ackAt) > ackLife {
+			ack.Total++
+			ack.addMissing(child)
+			continue
+		}
+		ack.add(p.ack, child)
+	}
+	return ack
+}
+
+func (r *Reducer) ownAck() Ack {
+	ack := Ack{Version: r.head.Version, Total: 1}
+	if r.applied.Version == r.head.Version {
+		ack.InForce = 1
+	} else {
+		ack.addMissing(r.settings.Host)
+	}
+	if rejection, ok := r.rejected[r.head.Version]; ok {
+		ack.Rejection = &rejection
+	}
+	return ack
+}
+
+// add merges the acknowledgement of a subtree. A report about another version
+// counts as missing.
+func (a *Ack) add(sub *Ack, child mesh.HostID) {
+	a.Total += sub.Total
+	if sub.Version != a.Version {
+		a.addMissing(child)
+		return
+	}
+	a.InForce += sub.InForce
+	for _, host := range sub.Missing {
+		a.addMissing(host)
+	}
+	if sub.Rejection == nil {
+		return
+	}
+	merged := *sub.Rejection
+	if a.Rejection != nil {
+		merged.Hosts += a.Rejection.Hosts
+		merged.Host, merged.Reason = a.Rejection.Host, a.Rejection.Reason
+	}
+	a.Rejection = &merged
+}
+
+func (a *Ack) addMissing(host mesh.HostID) {
+	if len(a.Missing) < MaxMissing {
+		a.Missing = append(a.Missing, host)
+	}
+}
+
+func (a *Ack) equal(b *Ack) bool {
+	sameRejection := a.Rejection == b.Rejection ||
+		(a.Rejection != nil && b.Rejection != nil && *a.Rejection == *b.Rejection)
+	return sameRejection && a.Version == b.Version && a.InForce == b.InForce && a.Total == b.Total &&
+		slices.Equal(a.Missing, b.Missing)
+}
+
+// updateOwnDomain renews the acknowledgement of the failure domain on the
+// root of its tree.
+func (r *Reducer) updateOwnDomain(now mesh.Time) {
+	if _, ok := r.topology.Parent(); ok || !r.topology.IsReader() {
+		return
+	}
+	next := DomainAck{Domain: r.settings.Domain, Ack: r.subtreeAck(now), Aggregates: r.subtreeAggregates(now)}
+	next.Ack.Total = uint32(r.topology.LiveCount(r.settings.Domain))
+	old, ok := r.domainAcks[next.Domain]
+	if ok && old.Ack.equal(&next.Ack) && slices.EqualFunc(old.Aggregates, next.Aggregates, Aggregate.equal) {
+		return
+	}
+	next.Stamp = max(now, old.Stamp+1)
+	r.domainAcks[next.Domain] = next
+}
+
+// changedDomains returns the acknowledgements that the peer was not yet told.
+func (r *Reducer) changedDomains(p *peer) []DomainAck {
+	var changed []DomainAck
+	for _, domain := range sortedKeys(r.domainAcks) {
+		ack := r.domainAcks[domain]
+		if ack.Stamp > p.sentDomains[domain] {
+			p.sentDomains[domain] = ack.Stamp
+			changed = append(changed, ack)
+		}
+	}
+	return changed
+}
+
+func (r *Reducer) acceptDomains(acks []DomainAck) {
+	for _, ack := range acks {
+		if ack.Stamp > r.domainAcks[ack.Domain].Stamp {
+			r.domainAcks[ack.Domain] = ack
+		}
+	}
+}
+
+// InForce returns the acknowledgement of the head over all failure domains.
+// It is complete on readers only.
+func (r *Reducer) InForce() Ack {
+	total := Ack{Version: r.head.Version}
+	for _, domain := range r.topology.Domains() {
+		members := uint32(r.topology.LiveCount(domain))
+		known, ok := r.domainAcks[domain]
+		if !ok || known.Ack.Version != total.Version {
+			total.Total += members
+			continue
+		}
+		ack := known.Ack
+		ack.Total = members
+		total.add(&ack, "")
+	}
+	return total
+}
+
+func (a Aggregate) equal(b Aggregate) bool { return a.Kind == b.Kind && bytes.Equal(a.Value, b.Value) }
--- /dev/null
+++ b/internal/distribution/contents.go
@@ -0,0 +1,109 @@
+package distribution
+
+import (
+	"bytes"
+	"cmp"
+	"compress/flate"
+	"io"
+	"maps"
+	"slices"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const (
+	// keptContents is the number of versions kept as bases of deltas.
+	keptContents = 8
+	// maxContentBytes bounds the decompressed content of a version.
+	maxContentBytes = 16 << 20
+	// compressionLevel favours size, as full content is rarely sent.
+	compressionLevel = flate.BestCompression
+)
+
+// content is a version held by this node. Its hash has been checked.
+type content struct {
+	head Head
+	full []byte
+	// packed is the compressed form, made when it is first needed.
+	packed []byte
+}
+
+// contents holds the newest versions in ascending order.
+type contents struct {
+	list []*content
+}
+
+func (c *contents) get(v mesh.ConfigVersion) *content {
+	for _, held := range c.list {
+		if held.head.Version == v {
+			return held
+		}
+	}
+	return nil
+}
+
+// newestUpTo returns the newest held version at or below v, zero for none.
+func (c *contents) newestUpTo(v mesh.ConfigVersion) mesh.ConfigVersion {
+	newest := mesh.ConfigVersion(0)
+	for _, held := range c.list {
+		if held.head.Version <= v {
+			newest = held.head.Version
+		}
+	}
+	return newest
+}
+
+// put stores a version. The oldest ones go, but never the one in force.
+func (c *contents) put(held *content, inForce mesh.ConfigVersion) {
+	i, found := slices.BinarySearchFunc(c.list, held.head.Version, func(c *content, v mesh.ConfigVersion) int {
+		return cmp.Compare(c.head.Version, v)
+	})
+	if found {
+		return
+	}
+	c.list = slices.Insert(c.list, i, held)
+	if len(c.list) <= keptContents {
+		return
+	}
+	oldest := 0
+	if c.list[0].head.Version == inForce {
+		oldest = 1
+	}
+	c.list = slices.Delete(c.list, oldest, oldest+1)
+}
+
+// compressed returns the DEFLATE form of the content.
+func (c *content) compressed() []byte {
+	if c.packed == nil {
+		c.packed = compress(c.full)
+	}
+	return c.packed
+}
+
+func compress(data []byte) []byte {
+	var buf bytes.Buffer
+	w, err := flate.NewWriter(&buf, compressionLevel)
+	if err != nil {
+		panic(err) // the level is a constant of the package
+	}
+	// Writes to a bytes.Buffer do not fail.
+	_, _ = w.Write(data)
+	_ = w.Close()
+	return buf.Bytes()
+}
+
+// decompress reverses compress. The error is of type ErrContent.
+func decompress(data []byte) ([]byte, error) {
+	full, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxContentBytes+1))
+	if err != nil {
+		return nil, ErrContent.Wrap(err, "content is not valid DEFLATE data")
+	}
+	if len(full) > maxContentBytes {
+		return nil, ErrContent.New("content exceeds %d bytes", maxContentBytes)
+	}
+	return full, nil
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/internal/distribution/fetch.go
@@ -0,0 +1,153 @@
+package distribution
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+)
+
+const (
+	// deltaPullTimeout and fullPullTimeout are the times after which another
+	// source is asked.
+	deltaPullTimeout = 400 * time.Millisecond
+	fullPullTimeout  = 1500 * time.Millisecond
+	// pushPatience is the time that a reader waits for a push of a version that
+	// it learned from the platform, before it reads the object store.
+	pushPatience = 250 * time.Millisecond
+	// readerPulls and memberPulls are the numbers of pulls from peers before
+	// the object store is read. Members that are no readers wait longer, as
+	// there are many of them.
+	readerPulls = 2
+	memberPulls = 8
+	// objectTimeout is the time after which a read of the object store is
+	// given up.
+	objectTimeout = 5 * time.Second
+)
+
+// fetch is the search for the content of the target.
+type fetch struct {
+	version  mesh.ConfigVersion
+	attempts int
+	deadline mesh.Time
+	// hash is known once the head or the history row has been read.
+	hash string
+	// objectRead and historyRead are IDs of platform requests under way.
+	objectRead  uint64
+	historyRead uint64
+}
+
+// missing reports whether the content of the target is to be fetched.
+func (r *Reducer) missing() bool {
+	target := r.target()
+	return target > r.applied.Version && r.contents.get(target) == nil
+}
+
+// fetchTarget starts to fetch the target. The peer that told of the head is
+// asked first; without one, a push is awaited.
+func (r *Reducer) fetchTarget(now mesh.Time, from mesh.HostID, out *Output) {
+	target := r.target()
+	if !r.missing() {
+		return
+	}
+	f := &r.fetch
+	if f.version != target {
+		*f = fetch{version: target, deadline: now.Add(pushPatience)}
+		if from != "" {
+			r.pull(now, from, Pull{Want: target, Have: r.contents.newestUpTo(target)}, out)
+		}
+	}
+	if target == r.head.Version && r.head.Hash != "" {
+		f.hash = r.head.Hash
+	}
+}
+
+// pull asks a peer for content and sets the time for its answer.
+func (r *Reducer) pull(now mesh.Time, from mesh.HostID, m Pull, out *Output) {
+	r.fetch.attempts++
+	r.fetch.deadline = now.Add(pullTimeout(m))
+	r.send(from, Message{Pull: &m}, out)
+}
+
+// tickFetch asks the next source once the last one has not answered in time.
+func (r *Reducer) tickFetch(now mesh.Time, rng *rand.Rand, out *Output) {
+	if !r.missing() {
+		return
+	}
+	r.fetchTarget(now, "", out)
+	f := &r.fetch
+	if now < f.deadline {
+		return
+	}
+	limit := memberPulls
+	if r.topology.IsReader() {
+		limit = readerPulls
+	}
+	holders := r.holders(f.version)
+	if len(holders) > 0 && f.attempts < limit {
+		have := r.contents.newestUpTo(f.version)
+		r.pull(now, holders[rng.IntN(len(holders))], Pull{Want: f.version, Have: have}, out)
+		return
+	}
+	if r.topology.IsReader() || f.attempts >= limit {
+		r.readObject(now, out)
+		f.attempts = 0
+		return
+	}
+	f.attempts++
+	f.deadline = now.Add(fullPullTimeout + time.Duration(rng.Int64N(int64(fullPullTimeout))))
+}
+
+// holders returns the peers that are known to have a version.
+func (r *Reducer) holders(v mesh.ConfigVersion) []mesh.HostID {
+	var hosts []mesh.HostID
+	for _, host := range sortedKeys(r.peers) {
+		if r.peers[host].version >= v {
+			hosts = append(hosts, host)
+		}
+	}
+	return hosts
+}
+
+// readObject reads the content from the object store, after the history row
+// if the hash is not known.
+func (r *Reducer) readObject(now mesh.Time, out *Output) {
+	f := &r.fetch
+	f.deadline = now.Add(objectTimeout)
+	if f.hash == "" {
+		f.historyRead = r.reads.nextID()
+		out.Platform = append(out.Platform, platform.Request{
+			ID: f.historyRead, Op: platform.OpRead, Keys: []string{HistoryKey(f.version)},
+		})
+		return
+	}
+	f.objectRead = r.reads.nextID()
+	out.Platform = append(out.Platform, platform.Request{ID: f.objectRead, Op: platform.OpGetObject, Hash: f.hash})
+}
+
+func (r *Reducer) acceptHistory(now mesh.Time, res *platform.Result, out *Output) {
+	f := &r.fetch
+	f.historyRead = 0
+	if res.Status != platform.OK || len(res.Rows) == 0 || res.Rows[0].Key != HistoryKey(f.version) {
+		return
+	}
+	head, err := ParseHeadRow(res.Rows[0].Value)
+	if err != nil || head.Version != f.version {
+		return
+	}
+	f.hash = head.Hash
+	r.readObject(now, out)
+}
+
+func (r *Reducer) acceptObject(now mesh.Time, res *platform.Result, out *Output) {
+	f := &r.fetch
+	if res.ID == 0 || res.ID != f.objectRead {
+		return
+	}
+	f.objectRead = 0
+	f.deadline = now.Add(fullPullTimeout)
+	if res.Status == platform.OK {
+		r.acceptContent(now, "", Head{Version: f.version, Hash: f.hash}, res.Object, out)
+	}
+}
--- a/internal/distribution/message.go
+++ b/internal/distribution/message.go
@@ -25,6 +25,8 @@
 	Items        []Item
 	// ItemSteps lists all items of the sender after a mismatch of digests.
 	ItemSteps []ItemStep
+	// WantItems names items that the sender asks for.
+	WantItems []string
 }
 
 // Status is exchanged with the neighbours once a second.
@@ -40,7 +42,9 @@
 	// Domains holds the acknowledgements of whole failure domains, exchanged
 	// between readers.
 	Domains []DomainAck
-	// Aggregates holds the aggregates that changed since the last Status.
+	// Aggregates holds the aggregates that changed since the last Status: of
+	// the sender's subtree towards the parent, of all failure domains towards
+	// a child.
 	Aggregates []Aggregate
 }
 
--- /dev/null
+++ b/internal/distribution/push.go
@@ -0,0 +1,143 @@
+package distribution
+
+import (
+	"slices"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const (
+	// fullBytesPerSecond and fullBurstBytes limit the full content that a node
+	// serves. The burst serves all children of an inner node at once.
+	fullBytesPerSecond = 3000
+	fullBurstBytes     = 40000
+	// maxServeQueue bounds the peers that wait for full content.
+	maxServeQueue = 256
+)
+
+// pushOn sends the delta of a new version to the links that may not have it.
+func (r *Reducer) pushOn(source mesh.HostID, held *content, out *Output) {
+	for _, host := range r.topology.Links() {
+		if host == source || r.versionOf(host) >= held.head.Version {
+			continue
+		}
+		if push, ok := r.deltaFor(held, r.versionOf(host)); ok {
+			r.send(host, Message{Push: push}, out)
+		}
+	}
+}
+
+// deltaFor returns the delta to a version from the peer's version, or from
+// the one before if the peer's version is not known.
+func (r *Reducer) deltaFor(held *content, have mesh.ConfigVersion) (*Push, bool) {
+	base := r.contents.get(have)
+	if base == nil {
+		base = r.contents.get(r.contents.newestUpTo(held.head.Version - 1))
+	}
+	if base == nil || base.head.Version >= held.head.Version {
+		return nil, false
+	}
+	delta, err := r.settings.Content.Diff(base.full, held.full)
+	if err != nil || len(delta) >= len(held.full) {
+		return nil, false
+	}
+	return &Push{Head: held.head, Base: base.head.Version, Delta: delta}, true
+}
+
+// acceptPush takes the content of a version, or asks for it in another form
+// if the delta cannot be used here.
+func (r *Reducer) acceptPush(now mesh.Time, from mesh.HostID, m *Push, out *Output) {
+	r.noteVersion(now, from, m.Head.Version)
+	if m.Head.Version < r.target() || r.contents.get(m.Head.Version) != nil {
+		return
+	}
+	full, err := r.contentOf(m)
+	if err == nil && r.acceptContent(now, from, m.Head, full, out) {
+		return
+	}
+	r.learn(now, "", Head{Version: m.Head.Version}, out)
+	if m.Base != 0 {
+		have := r.contents.newestUpTo(m.Head.Version - 1)
+		if have == m.Base {
+			have = 0
+		}
+		r.pull(now, from, Pull{Want: m.Head.Version, Have: have}, out)
+	}
+}
+
+func (r *Reducer) contentOf(m *Push) ([]byte, error) {
+	if m.Base == 0 {
+		return decompress(m.Full)
+	}
+	base := r.contents.get(m.Base)
+	if base == nil {
+		return nil, ErrContent.New("base %s of the delta to %s is not held", m.Base, m.Head.Version)
+	}
+	return r.settings.Content.Patch(base.full, m.Delta)
+}
+
+// request is a peer that waits for full content.
+type request struct {
+	host mesh.HostID
+	want mesh.ConfigVersion
+}
+
+// serveQueue holds the requests for full content and their byte budget.
+type serveQueue struct {
+	requests []request
+	budget   float64
+	filled   mesh.Time
+}
+
+// acceptPull answers with a delta at once, or queues the full content.
+func (r *Reducer) acceptPull(now mesh.Time, from mesh.HostID, m *Pull, out *Output) {
+	held := r.contents.get(m.Want)
+	if held == nil {
+		return
+	}
+	if m.Have != 0 && r.contents.get(m.Have) != nil {
+		if push, ok := r.deltaFor(held, m.Have); ok {
+			r.send(from, Message{Push: push}, out)
+			return
+		}
+	}
+	q := &r.serve
+	q.requests = slices.DeleteFunc(q.requests, func(w request) bool { return w.host == from })
+	if len(q.requests) < maxServeQueue {
+		q.requests = append(q.requests, request{host: from, want: m.Want})
+	}
+	r.tickServe(now, out)
+}
+
+// tickServe sends full content within the budget.
+func (r *Reducer) tickServe(now mesh.Time, out *Output) {
+	q := &r.serve
+	if q.filled == 0 {
+		q.budget = fullBurstBytes
+	} else {
+		seconds := now.Sub(q.filled).Seconds()
+		q.budget = min(fullBurstBytes, q.budget+seconds*fullBytesPerSecond)
+	}
+	q.filled = now
+	for len(q.requests) > 0 && q.budget > 0 {
+		next := q.requests[0]
+		q.requests = q.requests[1:]
+		held := r.contents.get(next.want)
+		if held == nil || r.versionOf(next.host) >= next.want {
+			continue
+		}
+		packed := held.compressed()
+		q.budget -= float64(len(packed))
+		r.send(next.host, Message{Push: &Push{Head: held.head, Full: packed}}, out)
+	}
+}
+
+// pullTimeout returns the time to wait for the answer to a Pull. Full content
+// may have to wait for the sender's budget.
+func pullTimeout(m Pull) time.Duration {
+	if m.Have == 0 {
+		return fullPullTimeout
+	}
+	return deltaPullTimeout
+}
--- a/internal/distribution/reducer.go
+++ b/internal/distribution/reducer.go
@@ -9,6 +9,10 @@
 package distribution
 
 import (
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/platform"
 )
@@ -36,8 +40,8 @@
 	IsReader() bool
 	Readers(domain mesh.FailureDomain) []mesh.HostID
 	Domains() []mesh.FailureDomain
-	// Unreachable reports whether a failure domain cannot be reached.
-	Unreachable(domain mesh.FailureDomain) bool
+	// DomainOf returns the failure domain of a known host.
+	DomainOf(host mesh.HostID) (mesh.FailureDomain, bool)
 	// LiveCount returns the number of live members of a failure domain.
 	LiveCount(domain mesh.FailureDomain) int
 	// Links returns the peers that new versions are pushed to.
@@ -66,54 +70,137 @@
 type Reducer struct {
 	settings Settings
 	topology Topology
+	now      mesh.Time
+
+	// head is the newest known configuration. Its hash is empty while only the
+	// version is known.
+	head     Head
+	applied  Head
+	floor    floor
+	contents contents
+	rejected map[mesh.ConfigVersion]Rejection
+
+	reads platformReads
+	fetch fetch
+	serve serveQueue
+	peers map[mesh.HostID]*peer
+
+	items      map[string]Item
+	itemDigest uint64
+	itemsSince mesh.Time
+
+	domainAcks map[mesh.FailureDomain]DomainAck
+	local      map[AggregateKind][]byte
+	total      map[AggregateKind][]byte
+
+	checks checks
+}
+
+// checks are the conditions of an apply. Tests switch single ones off to show
+// what they prevent.
+type checks struct {
+	floor    bool
+	order    bool
+	validate bool
 }
 
 // New returns the reducer of a node that knows no configuration.
-func New(s Settings, t Topology) *Reducer { return &Reducer{settings: s, topology: t} }
+func New(s Settings, t Topology) *Reducer {
+	return &Reducer{
+		settings:   s,
+		topology:   t,
+		rejected:   make(map[mesh.ConfigVersion]Rejection),
+		peers:      make(map[mesh.HostID]*peer),
+		items:      make(map[string]Item),
+		domainAcks: make(map[mesh.FailureDomain]DomainAck),
+		local:      make(map[AggregateKind][]byte),
+		total:      make(map[AggregateKind][]byte),
+		checks:     checks{floor: true, order: true, validate: true},
+	}
+}
+
+// random returns the source for the random choices of one step. The host is
+// mixed in, as nodes may be given equal seeds.
+func (r *Reducer) random(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(r.settings.Host))))
+}
 
 // Tick advances time: head polling, requests for a fresh head, status
 // exchange with the peers of Topology.Exchanges, and retries. It follows the
 // Tick of the membership in the same step.
-func (r *Reducer) Tick(now mesh.Time, seed uint64, out *Output) {}
+func (r *Reducer) Tick(now mesh.Time, seed uint64, out *Output) {
+	r.now = now
+	rng := r.random(seed)
+	r.expirePeers(now)
+	r.tickFloor(now, rng, out)
+	r.tickReads(now, rng, out)
+	r.tickFetch(now, rng, out)
+	r.tickServe(now, out)
+	r.updateOwnDomain(now)
+	for _, host := range r.topology.Exchanges() {
+		r.sendStatus(now, host, out)
+	}
+}
 
 // Receive handles a message of a member.
-func (r *Reducer) Receive(now mesh.Time, from mesh.HostID, m *Message, out *Output) {}
+func (r *Reducer) Receive(now mesh.Time, from mesh.HostID, m *Message, out *Output) {
+	r.now = now
+	if m.FreshRequest != 0 {
+		r.acceptFreshRequest(now, from, m.FreshRequest, out)
+	}
+	if m.Fresh != nil {
+		r.acceptFresh(now, from, m.Fresh, out)
+	}
+	if m.Push != nil {
+		r.acceptPush(now, from, m.Push, out)
+	}
+	if m.Pull != nil {
+		r.acceptPull(now, from, m.Pull, out)
+	}
+	if len(m.Items) > 0 {
+		r.acceptItems(from, m.Items, out)
+	}
+	if len(m.ItemSteps) > 0 || len(m.WantItems) > 0 {
+		r.acceptItemSteps(from, m, out)
+	}
+	if m.Status != nil {
+		r.acceptStatus(now, from, m.Status, out)
+	}
+}
 
 // PlatformResult handles the result of a platform request of this package.
-func (r *Reducer) PlatformResult(now mesh.Time, res *platform.Result, out *Output) {}
+func (r *Reducer) PlatformResult(now mesh.Time, res *platform.Result, out *Output) {
+	r.now = now
+	switch res.Op {
+	case platform.OpRead:
+		r.acceptRead(now, res, out)
+	case platform.OpGetObject:
+		r.acceptObject(now, res, out)
+	}
+}
 
 // Published tells that this node has moved the platform's head to content.
-func (r *Reducer) Published(now mesh.Time, head Head, content []byte, out *Output) {}
-
-// PutItem distributes an item that this node has written to the platform.
-func (r *Reducer) PutItem(now mesh.Time, item Item, out *Output) {}
-
-// SetLocal sets this node's contribution to an aggregate. A nil value removes
-// it.
-func (r *Reducer) SetLocal(kind AggregateKind, value []byte) {}
-
-// Aggregate returns the aggregate of all reachable failure domains as known
-// here, and nil if there is none.
-func (r *Reducer) Aggregate(kind AggregateKind) []byte { return nil }
-
-// Established reports whether the version floor is known.
-func (r *Reducer) Established() bool { return false }
+func (r *Reducer) Published(now mesh.Time, head Head, content []byte, out *Output) {
+	r.now = now
+	r.acceptContent(now, "", head, content, out)
+}
 
-// Floor returns the version floor. It is false while the floor is unknown.
-func (r *Reducer) Floor() (mesh.ConfigVersion, bool) { return 0, false }
+func (r *Reducer) send(to mesh.HostID, m Message, out *Output) {
+	out.Sends = append(out.Sends, Send{To: to, Message: m})
+}
 
 // Head returns the newest configuration known here.
-func (r *Reducer) Head() Head { return Head{} }
+func (r *Reducer) Head() Head { return r.head }
 
 // AppliedHead returns the configuration in force on this node.
-func (r *Reducer) AppliedHead() Head { return Head{} }
-
-// Item returns the newest state of an item.
-func (r *Reducer) Item(id string) (Item, bool) { return Item{}, false }
-
-// Items returns all items in ascending order of their IDs.
-func (r *Reducer) Items() []Item { return nil }
-
-// InForce returns the acknowledgement of the newest version over all failure
-// domains. It is complete on readers only.
-func (r *Reducer) InForce() Ack { return Ack{} }
+func (r *Reducer) AppliedHead() Head { return r.applied }
+
+// Rejections returns the versions that this node refused and still remembers,
+// in ascending order.
+func (r *Reducer) Rejections() []Rejection {
+	out := make([]Rejection, 0, len(r.rejected))
+	for _, version := range sortedKeys(r.rejected) {
+		out = append(out, r.rejected[version])
+	}
+	return out
+}
--- a/internal/membership/tree.go
+++ b/internal/membership/tree.go
@@ -116,3 +116,12 @@
 	}
 	return hosts
 }
+
+// DomainOf returns the failure domain of a host.
+func (r *Reducer) DomainOf(host mesh.HostID) (mesh.FailureDomain, bool) {
+	rec := r.table.records[host]
+	if rec == nil {
+		return "", false
+	}
+	return rec.Domain, true
+}
