--- /dev/null
+++ b/internal/distribution/encoding.go
@@ -0,0 +1,270 @@
+package distribution
+
+import (
+	"encoding/hex"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/wire"
+)
+
+const (
+	// maxNameBytes bounds names, hashes and reasons on the wire.
+	maxNameBytes = 255
+	// maxMessages bounds the messages of one envelope.
+	maxMessages = 256
+	// maxListEntries bounds the lists of a message.
+	maxListEntries = 1024
+	// maxVersion bounds versions on the wire.
+	maxVersion = 1<<63 - 1
+	// hashBytes is the size of a SHA-256.
+	hashBytes = 32
+)
+
+// Bits of the parts that a message has.
+const (
+	partStatus = 1 << iota
+	partPush
+	partPull
+	partFreshRequest
+	partFresh
+	partItems
+	partItemSteps
+	partWantItems
+)
+
+// Bits of the parts that a status or an acknowledgement has.
+const (
+	partReply = 1 << iota
+	partAck
+	partDomains
+	partAggregates
+	partRejection
+	partMissing
+)
+
+func bit(flag byte, set bool) byte {
+	if set {
+		return flag
+	}
+	return 0
+}
+
+// EncodeMessages returns the compact encoding of messages to one peer.
+func EncodeMessages(messages []Message) []byte {
+	w := &wire.Writer{}
+	w.Uint(uint64(len(messages)))
+	for i := range messages {
+		messages[i].write(w)
+	}
+	return w.Buf
+}
+
+// DecodeMessages reads the encoding of EncodeMessages. The error is of type
+// wire.ErrMalformed.
+func DecodeMessages(data []byte) ([]Message, error) {
+	r := wire.NewReader(data)
+	count := r.Uint(maxMessages)
+	var messages []Message
+	for i := uint64(0); i < count && r.OK(); i++ {
+		messages = append(messages, readMessage(r))
+	}
+	if err := r.Close(); err != nil {
+		return nil, err
+	}
+	return messages, nil
+}
+
+func (m *Message) write(w *wire.Writer) {
+	w.Byte(bit(partStatus, m.Status != nil) | bit(partPush, m.Push != nil) | bit(partPull, m.Pull != nil) |
+		bit(partFreshRequest, m.FreshRequest != 0) | bit(partFresh, m.Fresh != nil) | bit(partItems, len(m.Items) > 0) |
+		bit(partItemSteps, len(m.ItemSteps) > 0) | bit(partWantItems, len(m.WantItems) > 0))
+	if m.Status != nil {
+		m.Status.write(w)
+	}
+	if m.Push != nil {
+		m.Push.write(w)
+	}
+	if m.Pull != nil {
+		w.Uint(uint64(m.Pull.Want))
+		w.Uint(uint64(m.Pull.Have))
+	}
+	if m.FreshRequest != 0 {
+		w.Fixed(m.FreshRequest)
+	}
+	if m.Fresh != nil {
+		w.Fixed(m.Fresh.Nonce)
+		writeHead(w, m.Fresh.Head)
+	}
+	m.writeItems(w)
+}
+
+func (m *Message) writeItems(w *wire.Writer) {
+	writeList(w, m.Items, func(i Item) { w.String(i.ID); w.Uint(i.Step); w.Bytes(i.Value) })
+	writeList(w, m.ItemSteps, func(i ItemStep) { w.String(i.ID); w.Uint(i.Step) })
+	writeList(w, m.WantItems, w.String)
+}
+
+func readMessage(r *wire.Reader) Message {
+	var m Message
+	parts := r.Byte()
+	if parts&partStatus != 0 {
+		m.Status = readStatus(r)
+	}
+	if parts&partPush != 0 {
+		m.Push = readPush(r)
+	}
+	if parts&partPull != 0 {
+		m.Pull = &Pull{Want: readVersion(r), Have: readVersion(r)}
+	}
+	if parts&partFreshRequest != 0 {
+		m.FreshRequest = r.Fixed()
+	}
+	if parts&partFresh != 0 {
+		m.Fresh = &Fresh{Nonce: r.Fixed(), Head: readHead(r)}
+	}
+	m.readItems(r, parts)
+	return m
+}
+
+func (m *Message) readItems(r *wire.Reader, parts byte) {
+	if parts&partItems != 0 {
+		m.Items = readList(r, func() Item {
+			return Item{ID: r.String(maxNameBytes), Step: r.Uint(maxVersion), Value: r.Bytes(maxItemBytes)}
+		})
+	}
+	if parts&partItemSteps != 0 {
+		m.ItemSteps = readList(r, func() ItemStep { return ItemStep{ID: r.String(maxNameBytes), Step: r.Uint(maxVersion)} })
+	}
+	if parts&partWantItems != 0 {
+		m.WantItems = readList(r, func() string { return r.String(maxNameBytes) })
+	}
+}
+
+// writeList writes nothing for an empty list, whose presence bit is not set.
+func writeList[T any](w *wire.Writer, list []T, write func(T)) {
+	if len(list) == 0 {
+		return
+	}
+	w.Uint(uint64(len(list)))
+	for _, entry := range list {
+		write(entry)
+	}
+}
+
+func readList[T any](r *wire.Reader, read func() T) []T {
+	count := r.Uint(maxListEntries)
+	var out []T
+	for i := uint64(0); i < count && r.OK(); i++ {
+		out = append(out, read())
+	}
+	return out
+}
+
+// writeHead writes the hash as its 32 bytes.
+func writeHead(w *wire.Writer, h Head) {
+	w.Uint(uint64(h.Version))
+	raw, err := hex.DecodeString(h.Hash)
+	if err != nil || len(raw) != hashBytes {
+		raw = nil
+	}
+	w.Bytes(raw)
+}
+
+func readHead(r *wire.Reader) Head {
+	return Head{Version: readVersion(r), Hash: hex.EncodeToString(r.Bytes(hashBytes))}
+}
+
+func readVersion(r *wire.Reader) mesh.ConfigVersion { return mesh.ConfigVersion(r.Uint(maxVersion)) }
+
+func (p *Push) write(w *wire.Writer) {
+	writeHead(w, p.Head)
+	w.Uint(uint64(p.Base))
+	w.Bytes(p.Delta)
+	w.Bytes(p.Full)
+}
+
+func readPush(r *wire.Reader) *Push {
+	return &Push{Head: readHead(r), Base: readVersion(r), Delta: r.Bytes(maxContentBytes), Full: r.Bytes(maxContentBytes)}
+}
+
+func (s *Status) write(w *wire.Writer) {
+	w.Byte(bit(partReply, s.Reply) | bit(partAck, s.Ack != nil) | bit(partDomains, len(s.Domains) > 0) |
+		bit(partAggregates, len(s.Aggregates) > 0))
+	w.Uint(uint64(s.Head))
+	w.Uint(uint64(s.Applied))
+	w.Uint(uint64(s.Held))
+	w.Fixed(s.ItemDigest)
+	if s.Ack != nil {
+		s.Ack.write(w)
+	}
+	writeList(w, s.Domains, func(d DomainAck) {
+		w.String(string(d.Domain))
+		w.Int(int64(d.Stamp))
+		d.Ack.write(w)
+		w.Uint(uint64(len(d.Aggregates)))
+		for _, a := range d.Aggregates {
+			a.write(w)
+		}
+	})
+	writeList(w, s.Aggregates, func(a Aggregate) { a.write(w) })
+}
+
+func readStatus(r *wire.Reader) *Status {
+	parts := r.Byte()
+	s := &Status{Reply: parts&partReply != 0, Head: readVersion(r), Applied: readVersion(r), Held: readVersion(r), ItemDigest: r.Fixed()}
+	if parts&partAck != 0 {
+		ack := readAck(r)
+		s.Ack = &ack
+	}
+	if parts&partDomains != 0 {
+		s.Domains = readList(r, func() DomainAck {
+			return DomainAck{
+				Domain: mesh.FailureDomain(r.String(maxNameBytes)), Stamp: mesh.Time(r.Int()), Ack: readAck(r),
+				Aggregates: readList(r, func() Aggregate { return readAggregate(r) }),
+			}
+		})
+	}
+	if parts&partAggregates != 0 {
+		s.Aggregates = readList(r, func() Aggregate { return readAggregate(r) })
+	}
+	return s
+}
+
+func (a Aggregate) write(w *wire.Writer) {
+	w.Byte(byte(a.Kind))
+	w.Bytes(a.Value)
+}
+
+func readAggregate(r *wire.Reader) Aggregate {
+	return Aggregate{Kind: AggregateKind(r.Byte()), Value: r.Bytes(maxItemBytes)}
+}
+
+func (a *Ack) write(w *wire.Writer) {
+	w.Byte(bit(partRejection, a.Rejection != nil) | bit(partMissing, len(a.Missing) > 0))
+	w.Uint(uint64(a.Version))
+	w.Uint(uint64(a.InForce))
+	w.Uint(uint64(a.Total))
+	writeList(w, a.Missing, func(h mesh.HostID) { w.String(string(h)) })
+	if a.Rejection != nil {
+		w.Uint(uint64(a.Rejection.Version))
+		w.Uint(uint64(a.Rejection.Hosts))
+		w.String(string(a.Rejection.Host))
+		w.String(a.Rejection.Reason)
+	}
+}
+
+func readAck(r *wire.Reader) Ack {
+	const maxHosts = 1<<32 - 1
+	parts := r.Byte()
+	a := Ack{Version: readVersion(r), InForce: uint32(r.Uint(maxHosts)), Total: uint32(r.Uint(maxHosts))}
+	if parts&partMissing != 0 {
+		a.Missing = readList(r, func() mesh.HostID { return mesh.HostID(r.String(maxNameBytes)) })
+	}
+	if parts&partRejection != 0 {
+		a.Rejection = &Rejection{
+			Version: readVersion(r), Hosts: uint32(r.Uint(maxHosts)),
+			Host: mesh.HostID(r.String(maxNameBytes)), Reason: r.String(maxNameBytes),
+		}
+	}
+	return a
+}
--- a/internal/distribution/fetch.go
+++ b/internal/distribution/fetch.go
@@ -31,6 +31,8 @@
 	version  mesh.ConfigVersion
 	attempts int
 	deadline mesh.Time
+	// asked is set while a Pull waits for its answer.
+	asked bool
 	// hash is known once the head or the history row has been read.
 	hash string
 	// objectRead and historyRead are IDs of platform requests under way.
@@ -66,6 +68,7 @@
 // pull asks a peer for content and sets the time for its answer.
 func (r *Reducer) pull(now mesh.Time, from mesh.HostID, m Pull, out *Output) {
 	r.fetch.attempts++
+	r.fetch.asked = true
 	r.fetch.deadline = now.Add(pullTimeout(m))
 	r.send(from, Message{Pull: &m}, out)
 }
@@ -80,6 +83,7 @@
 	if now < f.deadline {
 		return
 	}
+	f.asked = false
 	limit := memberPulls
 	if r.topology.IsReader() {
 		limit = readerPulls
@@ -99,11 +103,22 @@
 	f.deadline = now.Add(fullPullTimeout + time.Duration(rng.Int64N(int64(fullPullTimeout))))
 }
 
+// offerSource asks a peer that holds the target if no other peer is asked.
+func (r *Reducer) offerSource(now mesh.Time, from mesh.HostID, out *Output) {
+	if !r.missing() {
+		return
+	}
+	r.fetchTarget(now, "", out)
+	if target := r.fetch.version; !r.fetch.asked && r.heldBy(from) >= target {
+		r.pull(now, from, Pull{Want: target, Have: r.contents.newestUpTo(target)}, out)
+	}
+}
+
 // holders returns the peers that are known to have a version.
 func (r *Reducer) holders(v mesh.ConfigVersion) []mesh.HostID {
 	var hosts []mesh.HostID
 	for _, host := range sortedKeys(r.peers) {
-		if r.peers[host].version >= v {
+		if r.peers[host].held >= v {
 			hosts = append(hosts, host)
 		}
 	}
--- a/internal/distribution/message.go
+++ b/internal/distribution/message.go
@@ -35,6 +35,9 @@
 	Reply   bool
 	Head    mesh.ConfigVersion
 	Applied mesh.ConfigVersion
+	// Held is the newest version whose content the sender holds, if it is not
+	// Applied.
+	Held mesh.ConfigVersion
 	// ItemDigest covers the items of the sender.
 	ItemDigest uint64
 	// Ack is the aggregate of the sender's subtree, set towards the parent.
@@ -79,7 +82,8 @@
 	Reason string
 }
 
-// Push carries the content of a version.
+// Push carries the content of a version, or only tells that the sender holds
+// it if both Delta and Full are empty.
 type Push struct {
 	Head Head
 	// Base is the version that Delta applies to. It is zero for full content.
--- a/internal/distribution/push.go
+++ b/internal/distribution/push.go
@@ -17,14 +17,17 @@
 )
 
 // pushOn sends the delta of a new version to the links that may not have it.
+// A link that holds no base of a delta is only told of the version.
 func (r *Reducer) pushOn(source mesh.HostID, held *content, out *Output) {
 	for _, host := range r.topology.Links() {
-		if host == source || r.versionOf(host) >= held.head.Version {
+		if host == source || r.heldBy(host) >= held.head.Version {
 			continue
 		}
-		if push, ok := r.deltaFor(held, r.versionOf(host)); ok {
-			r.send(host, Message{Push: push}, out)
+		push, ok := r.deltaFor(held, r.heldBy(host))
+		if !ok {
+			push = &Push{Head: held.head}
 		}
+		r.send(host, Message{Push: push}, out)
 	}
 }
 
@@ -48,10 +51,15 @@
 // acceptPush takes the content of a version, or asks for it in another form
 // if the delta cannot be used here.
 func (r *Reducer) acceptPush(now mesh.Time, from mesh.HostID, m *Push, out *Output) {
-	r.noteVersion(now, from, m.Head.Version)
+	r.noteHeld(now, from, m.Head.Version)
 	if m.Head.Version < r.target() || r.contents.get(m.Head.Version) != nil {
 		return
 	}
+	if len(m.Delta)+len(m.Full) == 0 {
+		r.learn(now, from, m.Head, out)
+		r.offerSource(now, from, out)
+		return
+	}
 	full, err := r.contentOf(m)
 	if err == nil && r.acceptContent(now, from, m.Head, full, out) {
 		return
@@ -90,13 +98,14 @@
 	filled   mesh.Time
 }
 
-// acceptPull answers with a delta at once, or queues the full content.
+// acceptPull answers with a delta at once, or queues the full content. A
+// request for a version that is itself being fetched waits for its arrival.
 func (r *Reducer) acceptPull(now mesh.Time, from mesh.HostID, m *Pull, out *Output) {
 	held := r.contents.get(m.Want)
-	if held == nil {
+	if held == nil && m.Want != r.target() {
 		return
 	}
-	if m.Have != 0 && r.contents.get(m.Have) != nil {
+	if held != nil && m.Have != 0 && r.contents.get(m.Have) != nil {
 		if push, ok := r.deltaFor(held, m.Have); ok {
 			r.send(from, Message{Push: push}, out)
 			return
@@ -120,17 +129,20 @@
 		q.budget = min(fullBurstBytes, q.budget+seconds*fullBytesPerSecond)
 	}
 	q.filled = now
-	for len(q.requests) > 0 && q.budget > 0 {
-		next := q.requests[0]
-		q.requests = q.requests[1:]
+	waiting := q.requests[:0]
+	for _, next := range q.requests {
 		held := r.contents.get(next.want)
-		if held == nil || r.versionOf(next.host) >= next.want {
-			continue
+		switch {
+		case r.heldBy(next.host) >= next.want || (held == nil && next.want != r.target()):
+		case held == nil || q.budget <= 0:
+			waiting = append(waiting, next)
+		default:
+			packed := held.compressed()
+			q.budget -= float64(len(packed))
+			r.send(next.host, Message{Push: &Push{Head: held.head, Full: packed}}, out)
 		}
-		packed := held.compressed()
-		q.budget -= float64(len(packed))
-		r.send(next.host, Message{Push: &Push{Head: held.head, Full: packed}}, out)
 	}
+	q.requests = waiting
 }
 
 // pullTimeout returns the time to wait for the answer to a Pull. Full content
--- /dev/null
+++ b/internal/distribution/sim_test.go
@@ -0,0 +1,539 @@
+package distribution
+
+import (
+	"container/heap"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/membership"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+)
+
+const (
+	simTick         = 100 * time.Millisecond
+	simLocalDelay   = 500 * time.Microsecond
+	simRemoteDelay  = 10 * time.Millisecond
+	simPlatformHalf = 2 * time.Millisecond
+	simPlatformDown = time.Second
+	simEpoch        = mesh.Time(1_000_000_000_000)
+)
+
+// lineContent is a configuration of sorted lines "service NAME" and
+// "route NAME SERVICE".
+type lineContent struct{}
+
+func makeContent(lines ...string) []byte {
+	slices.Sort(lines)
+	return []byte(strings.Join(lines, "\n"))
+}
+
+func (lineContent) Hash(full []byte) string {
+	sum := sha256.Sum256(full)
+	return hex.EncodeToString(sum[:])
+}
+
+func (lineContent) Validate(full []byte) error {
+	services := map[string]bool{}
+	for _, line := range strings.Split(string(full), "\n") {
+		if name, ok := strings.CutPrefix(line, "service "); ok {
+			services[strings.Fields(name)[0]] = true
+		}
+	}
+	for _, line := range strings.Split(string(full), "\n") {
+		if f := strings.Fields(line); len(f) > 2 && f[0] == "route" && !services[f[2]] {
+			return fmt.Errorf("route %s names the unknown service %s", f[1], f[2])
+		}
+	}
+	return nil
+}
+
+func (lineContent) Diff(base, next []byte) ([]byte, error) {
+	old, now := strings.Split(string(base), "\n"), strings.Split(string(next), "\n")
+	var delta []string
+	for _, line := range old {
+		if _, ok := slices.BinarySearch(now, line); !ok {
+			delta = append(delta, "-"+line)
+		}
+	}
+	for _, line := range now {
+		if _, ok := slices.BinarySearch(old, line); !ok {
+			delta = append(delta, "+"+line)
+		}
+	}
+	return []byte(strings.Join(delta, "\n")), nil
+}
+
+func (lineContent) Patch(base, delta []byte) ([]byte, error) {
+	lines := strings.Split(string(base), "\n")
+	for _, change := range strings.Split(string(delta), "\n") {
+		if len(change) < 2 {
+			return nil, errors.New("delta has an empty line")
+		}
+		i, found := slices.BinarySearch(lines, change[1:])
+		if found != (change[0] == '-') {
+			return nil, fmt.Errorf("delta line %q does not fit", change)
+		}
+		if found {
+			lines = slices.Delete(lines, i, i+1)
+		} else {
+			lines = slices.Insert(lines, i, change[1:])
+		}
+	}
+	return []byte(strings.Join(lines, "\n")), nil
+}
+
+// simEnvelope carries the messages of one step to one peer.
+type simEnvelope struct {
+	From         mesh.HostID
+	Incarnation  mesh.Incarnation
+	Clock        uint64
+	Membership   []membership.Message
+	Distribution []Message
+}
+
+// simPacket is the form of an envelope on the wire.
+type simPacket struct {
+	From         mesh.HostID
+	Incarnation  mesh.Incarnation
+	Clock        uint64
+	Membership   []byte
+	Distribution []byte
+}
+
+func (e *simEnvelope) encode() *simPacket {
+	p := &simPacket{From: e.From, Incarnation: e.Incarnation, Clock: e.Clock}
+	if len(e.Membership) > 0 {
+		p.Membership = membership.EncodeMessages(e.Membership)
+	}
+	if len(e.Distribution) > 0 {
+		p.Distribution = EncodeMessages(e.Distribution)
+	}
+	return p
+}
+
+func (p *simPacket) decode() *simEnvelope {
+	e := &simEnvelope{From: p.From, Incarnation: p.Incarnation, Clock: p.Clock}
+	var err error
+	if len(p.Membership) > 0 {
+		if e.Membership, err = membership.DecodeMessages(p.Membership); err != nil {
+			panic(err)
+		}
+	}
+	if len(p.Distribution) > 0 {
+		if e.Distribution, err = DecodeMessages(p.Distribution); err != nil {
+			panic(err)
+		}
+	}
+	return e
+}
+
+// simHost is one host with the reducers of its current process.
+type simHost struct {
+	id       mesh.HostID
+	domain   mesh.FailureDomain
+	addr     string
+	up       bool
+	paused   bool
+	process  int
+	mem      *membership.Reducer
+	dist     *Reducer
+	mout     membership.Output
+	out      Output
+	backends int
+	// highest is the highest version that the host applied in any process.
+	highest mesh.ConfigVersion
+	// stalled holds messages that arrived while the process was paused.
+	stalled []simEnvelope
+}
+
+// simEvent is a call at a time.
+type simEvent struct {
+	at  mesh.Time
+	seq int
+	run func()
+}
+
+type simQueue []simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].seq < q[j].seq)
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(simEvent)) }
+func (q *simQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	(*q)[len(*q)-1] = simEvent{}
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// sim delivers messages between the reducers of several hosts in virtual time.
+type sim struct {
+	now   mesh.Time
+	queue simQueue
+	seq   int
+	rng   *rand.Rand
+	hosts []*simHost
+	addrs map[string]*simHost
+	ids   map[mesh.HostID]*simHost
+	seeds map[mesh.FailureDomain][]string
+
+	loss, duplicate float64
+	extraDelay      time.Duration
+	blocked         func(from, to *simHost) bool
+	platformDown    bool
+	rows            map[string][]byte
+	objects         map[string][]byte
+	head            Head
+	reads           map[int64]int
+
+	log io.Writer
+	// carry passes an envelope over the wire; nil delivers it as it is.
+	carry func(from, to *simHost, e *simEnvelope) *simEnvelope
+	// onApplied is called for each apply.
+	onApplied func(h *simHost, a Applied)
+	tune      func(h *simHost)
+	clockStep func(h *simHost) func()
+}
+
+func newSim(seed uint64) *sim {
+	return &sim{
+		now: simEpoch, rng: rand.New(rand.NewPCG(seed, 1)), addrs: map[string]*simHost{},
+		ids: map[mesh.HostID]*simHost{}, seeds: map[mesh.FailureDomain][]string{},
+		rows: map[string][]byte{}, objects: map[string][]byte{}, reads: map[int64]int{}, log: io.Discard,
+	}
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.seq++
+	heap.Push(&s.queue, simEvent{at: s.now.Add(d), seq: s.seq, run: run})
+}
+
+// run advances virtual time by d.
+func (s *sim) run(d time.Duration) {
+	end := s.now.Add(d)
+	for len(s.queue) > 0 && s.queue[0].at <= end {
+		e := heap.Pop(&s.queue).(simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+// addDomain adds hosts that are not yet started. The first two of each failure
+// domain are seeds.
+func (s *sim) addDomain(domain mesh.FailureDomain, count int) {
+	for i := range count {
+		h := &simHost{id: mesh.HostID(fmt.Sprintf("%s-%03d", domain, i+1)), domain: domain, backends: 1}
+		h.addr = fmt.Sprintf("10.%d.%d.%d:7100", len(s.seeds), i/250, i%250+1)
+		if i < 2 {
+			defer func() { s.seeds[domain] = append(s.seeds[domain], h.addr) }()
+		}
+		s.hosts = append(s.hosts, h)
+		s.addrs[h.addr], s.ids[h.id] = h, h
+	}
+}
+
+func (s *sim) allSeeds(h *simHost) []string {
+	seeds := slices.Clone(s.seeds[h.domain])
+	for _, domain := range sortedKeys(s.seeds) {
+		if domain != h.domain && len(seeds) < 4 {
+			seeds = append(seeds, s.seeds[domain][0])
+		}
+	}
+	return seeds
+}
+
+func (s *sim) startAll() {
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+}
+
+// start begins a new process of a host.
+func (s *sim) start(h *simHost) {
+	h.process++
+	h.up, h.paused, h.stalled = true, false, nil
+	h.mem = membership.New(membership.Settings{
+		Host: h.id, Domain: h.domain, ControlAddr: h.addr, CallAddr: strings.Replace(h.addr, "7100", "7000", 1),
+		Incarnation: mesh.Incarnation(s.now), Seeds: s.allSeeds(h),
+	})
+	h.dist = New(Settings{
+		Host: h.id, Domain: h.domain, Content: lineContent{},
+		ItemStep: func(v []byte) (uint64, bool) { return uint64(len(v)), len(v) > 0 },
+		Merges:   map[AggregateKind]Merge{1: func(a, b []byte) []byte { return []byte{a[0] + b[0]} }},
+	}, h.mem)
+	if s.tune != nil {
+		s.tune(h)
+	}
+	s.logf(h, "started")
+	process := h.process
+	var tick func()
+	tick = func() {
+		if !h.up || h.process != process {
+			return
+		}
+		if !h.paused {
+			s.tick(h)
+		}
+		s.after(simTick, tick)
+	}
+	s.after(time.Duration(s.rng.Int64N(int64(simTick))), tick)
+}
+
+func (s *sim) stop(h *simHost) {
+	h.up = false
+	s.logf(h, "stopped")
+}
+
+// resume ends the pause of a process. Messages that waited are handled before
+// the next tick.
+func (s *sim) resume(h *simHost) {
+	h.paused = false
+	for _, e := range h.stalled {
+		s.deliver(h, &e)
+	}
+	h.stalled = nil
+}
+
+func (s *sim) tick(h *simHost) {
+	seed := s.rng.Uint64()
+	s.step(h, func() {
+		for i := range h.backends {
+			_ = h.mem.Announce(s.now, membership.Announcement{
+				Backend: membership.Backend{
+					Instance: mesh.InstanceID(fmt.Sprintf("%s-b%d", h.id, i)),
+					Service:  mesh.Service(fmt.Sprintf("service-%02d", len(s.hosts)%87)), Version: "v1", Slots: 9,
+				},
+				Addr: "127.0.0.1:9000", Lease: 3 * time.Second,
+			}, &h.mout)
+		}
+		h.mem.Tick(s.now, seed, &h.mout)
+		h.dist.Tick(s.now, seed, &h.out)
+	})
+}
+
+// step runs reducers of a host and carries out their effects.
+func (s *sim) step(h *simHost, run func()) {
+	done := func() {}
+	if s.clockStep != nil {
+		done = s.clockStep(h)
+	}
+	run()
+	if h.out.Established {
+		h.mem.SetEstablished(s.now, &h.mout)
+		s.logf(h, "established floor=%s", h.dist.floor.version)
+	}
+	done()
+	s.report(h)
+	s.dispatch(h)
+	for _, req := range h.out.Platform {
+		s.platform(h, req)
+	}
+	h.mout.Reset()
+	h.out.Reset()
+}
+
+func (s *sim) report(h *simHost) {
+	for _, a := range h.out.Applied {
+		s.logf(h, "applied %s", a.Head.Version)
+		if s.onApplied != nil {
+			s.onApplied(h, a)
+		}
+		h.highest = max(h.highest, a.Head.Version)
+	}
+	for _, r := range h.out.Rejected {
+		s.logf(h, "rejected %s: %s", r.Version, r.Reason)
+	}
+	for _, c := range h.mout.Changes {
+		if c.Old == nil || c.Old.State != c.New.State {
+			s.logf(h, "member %s is %s", c.New.Host, c.New.State)
+		}
+	}
+}
+
+// dispatch groups the messages of a step by peer and sends the envelopes.
+func (s *sim) dispatch(h *simHost) {
+	var order []string
+	envelopes := map[string]*simEnvelope{}
+	envelope := func(addr string) *simEnvelope {
+		e, ok := envelopes[addr]
+		if !ok {
+			e = &simEnvelope{From: h.id, Incarnation: h.mem.Self().Incarnation, Clock: uint64(s.now) << 8}
+			envelopes[addr] = e
+			order = append(order, addr)
+		}
+		return e
+	}
+	for _, send := range h.mout.Sends {
+		e := envelope(send.Addr)
+		e.Membership = append(e.Membership, send.Message)
+	}
+	for _, send := range h.out.Sends {
+		addr, ok := h.mem.Addr(send.To)
+		if !ok {
+			continue
+		}
+		s.logMessage(h, send)
+		e := envelope(addr)
+		e.Distribution = append(e.Distribution, send.Message)
+	}
+	for _, addr := range order {
+		s.transmit(h, s.addrs[addr], envelopes[addr])
+	}
+}
+
+func (s *sim) logMessage(h *simHost, send Send) {
+	m := &send.Message
+	switch {
+	case m.Push != nil && m.Push.Base != 0:
+		s.logf(h, "push %s as delta from %s to %s", m.Push.Head.Version, m.Push.Base, send.To)
+	case m.Push != nil:
+		s.logf(h, "push %s in full to %s", m.Push.Head.Version, send.To)
+	case m.Pull != nil:
+		s.logf(h, "pull %s from %s, have %s", m.Pull.Want, send.To, m.Pull.Have)
+	case m.FreshRequest != 0:
+		s.logf(h, "ask %s for a fresh head", send.To)
+	case m.Fresh != nil:
+		s.logf(h, "relay fresh head %s to %s", m.Fresh.Head.Version, send.To)
+	}
+}
+
+func (s *sim) transmit(from, to *simHost, e *simEnvelope) {
+	if s.carry != nil {
+		e = s.carry(from, to, e)
+	} else {
+		e = e.encode().decode()
+	}
+	if s.loss > 0 && s.rng.Float64() < s.loss {
+		return
+	}
+	copies := 1
+	if s.duplicate > 0 && s.rng.Float64() < s.duplicate {
+		copies = 2
+	}
+	for range copies {
+		delay := simLocalDelay
+		if from.domain != to.domain {
+			delay = simRemoteDelay
+		}
+		if s.extraDelay > 0 {
+			delay += time.Duration(s.rng.Int64N(int64(s.extraDelay)))
+		}
+		s.after(delay, func() {
+			if to.up && (s.blocked == nil || !s.blocked(from, to)) {
+				s.deliver(to, e)
+			}
+		})
+	}
+}
+
+func (s *sim) deliver(to *simHost, e *simEnvelope) {
+	if to.paused {
+		to.stalled = append(to.stalled, *e)
+		return
+	}
+	s.step(to, func() {
+		for i := range e.Membership {
+			to.mem.Receive(s.now, e.From, e.Incarnation, &e.Membership[i], &to.mout)
+		}
+		for i := range e.Distribution {
+			to.dist.Receive(s.now, e.From, &e.Distribution[i], &to.out)
+		}
+	})
+}
+
+// platform answers a request from the rows and objects at the time at which
+// it arrives.
+func (s *sim) platform(h *simHost, req platform.Request) {
+	s.reads[int64(s.now/mesh.Time(time.Second))]++
+	process := h.process
+	answer := func(d time.Duration, res platform.Result) {
+		s.after(d, func() {
+			if h.up && h.process == process && !h.paused {
+				s.step(h, func() { h.dist.PlatformResult(s.now, &res, &h.out) })
+			}
+		})
+	}
+	if req.Op == platform.OpGetObject {
+		s.logf(h, "read object")
+	}
+	s.after(simPlatformHalf, func() {
+		res := platform.Result{ID: req.ID, Op: req.Op, Status: platform.OK}
+		if s.platformDown {
+			res.Status = platform.Unknown
+			answer(simPlatformDown, res)
+			return
+		}
+		for _, key := range sortedKeys(s.rows) {
+			if slices.Contains(req.Keys, key) || slices.ContainsFunc(req.Prefixes, func(p string) bool { return strings.HasPrefix(key, p) }) {
+				res.Rows = append(res.Rows, platform.Row{Key: key, Value: s.rows[key], Revision: 1})
+			}
+		}
+		if req.Op == platform.OpGetObject {
+			object, ok := s.objects[req.Hash]
+			if res.Object = object; !ok {
+				res.Status = platform.NotFound
+			}
+		}
+		answer(simPlatformHalf, res)
+	})
+}
+
+// publish moves the platform's head. The publisher, if any, passes it on.
+func (s *sim) publish(publisher *simHost, full []byte) {
+	s.head = Head{Version: s.head.Version + 1, Hash: lineContent{}.Hash(full)}
+	row, _ := json.Marshal(HeadRow(s.head))
+	s.rows[HeadKey], s.rows[HistoryKey(s.head.Version)] = row, row
+	s.objects[s.head.Hash] = full
+	if publisher != nil && publisher.up {
+		s.logf(publisher, "published %s", s.head.Version)
+		s.step(publisher, func() { publisher.dist.Published(s.now, s.head, full, &publisher.out) })
+	}
+}
+
+func (s *sim) logf(h *simHost, format string, args ...any) {
+	if s.log != io.Discard {
+		fmt.Fprintf(s.log, "%9.4f %s %s\n", time.Duration(s.now-simEpoch).Seconds(), h.id, fmt.Sprintf(format, args...))
+	}
+}
+
+// lagging returns the hosts that run but do not have the version in force.
+func (s *sim) lagging(v mesh.ConfigVersion) []mesh.HostID {
+	var hosts []mesh.HostID
+	for _, h := range s.hosts {
+		if h.up && h.dist.AppliedHead().Version != v {
+			hosts = append(hosts, h.id)
+		}
+	}
+	return hosts
+}
+
+// incomplete returns the hosts that run and do not know exactly the running
+// hosts as live.
+func (s *sim) incomplete() []mesh.HostID {
+	var hosts []mesh.HostID
+	for _, h := range s.hosts {
+		for _, other := range s.hosts {
+			rec := h.mem
+			if !h.up {
+				break
+			}
+			if m := rec.Member(other.id); (m != nil && m.State == membership.Alive) != other.up {
+				hosts = append(hosts, h.id)
+				break
+			}
+		}
+	}
+	return hosts
+}
--- a/internal/distribution/status.go
+++ b/internal/distribution/status.go
@@ -18,8 +18,8 @@
 // peer is what this node knows of another one, and what it has told it.
 type peer struct {
 	heard mesh.Time
-	// version is the newest version known to the peer, zero if unknown.
-	version mesh.ConfigVersion
+	// held is the newest version whose content the peer holds, zero if unknown.
+	held mesh.ConfigVersion
 	// ack and aggregates are those of a child's subtree.
 	ack        *Ack
 	ackAt      mesh.Time
@@ -45,17 +45,17 @@
 	return p
 }
 
-// versionOf returns the newest version that a peer is known to have.
-func (r *Reducer) versionOf(host mesh.HostID) mesh.ConfigVersion {
+// heldBy returns the newest version that a peer is known to hold.
+func (r *Reducer) heldBy(host mesh.HostID) mesh.ConfigVersion {
 	if p, ok := r.peers[host]; ok {
-		return p.version
+		return p.held
 	}
 	return 0
 }
 
-func (r *Reducer) noteVersion(now mesh.Time, host mesh.HostID, v mesh.ConfigVersion) {
+func (r *Reducer) noteHeld(now mesh.Time, host mesh.HostID, v mesh.ConfigVersion) {
 	p := r.peer(now, host)
-	p.version = max(p.version, v)
+	p.held = max(p.held, v)
 }
 
 func (r *Reducer) expirePeers(now mesh.Time) {
@@ -75,6 +75,9 @@
 
 func (r *Reducer) statusFor(now mesh.Time, host mesh.HostID, reply bool) *Status {
 	s := &Status{Reply: reply, Head: r.head.Version, Applied: r.applied.Version, ItemDigest: r.itemDigest}
+	if held := r.contents.newestUpTo(r.head.Version); held != r.applied.Version {
+		s.Held = held
+	}
 	parent, hasParent := r.topology.Parent()
 	toParent := hasParent && host == parent
 	toChild := slices.Contains(r.topology.Children(), host)
@@ -111,7 +114,7 @@
 // acceptStatus takes a peer's state, and answers it if it is no answer itself.
 func (r *Reducer) acceptStatus(now mesh.Time, from mesh.HostID, s *Status, out *Output) {
 	p := r.peer(now, from)
-	p.version = s.Head
+	p.held = max(s.Applied, s.Held)
 	if s.Ack != nil {
 		p.ack, p.ackAt = s.Ack, now
 	}
@@ -120,6 +123,7 @@
 	if s.Head > r.head.Version {
 		r.learn(now, from, Head{Version: s.Head}, out)
 	}
+	r.offerSource(now, from, out)
 	if s.Reply {
 		return
 	}
--- a/internal/membership/batch.go
+++ b/internal/membership/batch.go
@@ -1,11 +1,10 @@
 package membership
 
 import (
-	"encoding/binary"
-
 	"github.com/joomcode/errorx"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/wire"
 )
 
 const (
@@ -22,43 +21,42 @@
 	flagDraining
 )
 
-// GobEncode returns the compact encoding of the batch. Strings are coded
-// against the same field of the previous record, as the hosts of one failure
-// domain share most of their names and addresses.
-func (b Batch) GobEncode() ([]byte, error) {
-	buf := binary.AppendUvarint(nil, uint64(len(b)))
+// writeBatch appends records. Strings are coded against the same field of the
+// previous record, as the hosts of one failure domain share most of their
+// names and addresses.
+func writeBatch(w *wire.Writer, b Batch) {
+	w.Uint(uint64(len(b)))
 	prev := &Record{}
 	for i := range b {
-		buf = appendRecord(buf, prev, &b[i])
+		writeRecord(w, prev, &b[i])
 		prev = &b[i]
 	}
-	return buf, nil
 }
 
-func appendRecord(buf []byte, prev, r *Record) []byte {
-	buf = appendString(buf, string(prev.Host), string(r.Host))
-	buf = appendString(buf, string(prev.Domain), string(r.Domain))
-	buf = appendString(buf, prev.ControlAddr, r.ControlAddr)
-	buf = appendString(buf, prev.CallAddr, r.CallAddr)
-	buf = binary.AppendVarint(buf, int64(r.Incarnation-prev.Incarnation))
-	buf = binary.AppendVarint(buf, int64(r.Incarnation-r.Started))
-	buf = append(buf, byte(r.State), flagIf(flagEstablished, r.Established))
-	buf = binary.AppendUvarint(buf, uint64(r.Revision))
-	buf = binary.AppendUvarint(buf, uint64(len(r.Backends)))
+func writeRecord(w *wire.Writer, prev, r *Record) {
+	writeString(w, string(prev.Host), string(r.Host))
+	writeString(w, string(prev.Domain), string(r.Domain))
+	writeString(w, prev.ControlAddr, r.ControlAddr)
+	writeString(w, prev.CallAddr, r.CallAddr)
+	w.Int(int64(r.Incarnation - prev.Incarnation))
+	w.Int(int64(r.Incarnation - r.Started))
+	w.Byte(byte(r.State))
+	w.Byte(flagIf(flagEstablished, r.Established))
+	w.Uint(uint64(r.Revision))
+	w.Uint(uint64(len(r.Backends)))
 	last := firstBackend(prev)
 	for i := range r.Backends {
-		buf = appendBackend(buf, &last, &r.Backends[i])
+		writeBackend(w, &last, &r.Backends[i])
 		last = r.Backends[i]
 	}
-	return buf
 }
 
-func appendBackend(buf []byte, prev, b *Backend) []byte {
-	buf = appendString(buf, string(prev.Instance), string(b.Instance))
-	buf = appendString(buf, string(prev.Service), string(b.Service))
-	buf = appendString(buf, string(prev.Version), string(b.Version))
-	buf = binary.AppendUvarint(buf, uint64(b.Slots))
-	return append(buf, flagIf(flagDraining, b.Draining))
+func writeBackend(w *wire.Writer, prev, b *Backend) {
+	writeString(w, string(prev.Instance), string(b.Instance))
+	writeString(w, string(prev.Service), string(b.Service))
+	writeString(w, string(prev.Version), string(b.Version))
+	w.Uint(uint64(b.Slots))
+	w.Byte(flagIf(flagDraining, b.Draining))
 }
 
 // firstBackend returns the reference for the first backend server of the
@@ -77,137 +75,79 @@
 	return 0
 }
 
-// appendString writes the length of the prefix shared with ref, the length of
-// the rest and the rest.
-func appendString(buf []byte, ref, s string) []byte {
+// writeString writes the length of the prefix shared with ref and the rest.
+func writeString(w *wire.Writer, ref, s string) {
 	n := 0
 	for n < len(ref) && n < len(s) && n < maxStringBytes && ref[n] == s[n] {
 		n++
 	}
-	buf = append(buf, byte(n))
-	buf = binary.AppendUvarint(buf, uint64(len(s)-n))
-	return append(buf, s[n:]...)
-}
-
-// GobDecode reads the encoding of GobEncode. The error is of type ErrEncoding
-// for input that is malformed or exceeds a limit.
-func (b *Batch) GobDecode(data []byte) error {
-	d := decoder{data: data}
-	count := d.uvarint(maxBatchRecords)
-	prev := &Record{}
-	var out Batch
-	for i := uint64(0); i < count && d.err == nil; i++ {
-		out = append(out, d.record(prev))
-		prev = &out[len(out)-1]
-	}
-	if d.err == nil && len(d.data) > 0 {
-		d.fail("%d bytes after the last record", len(d.data))
-	}
-	if d.err != nil {
-		return d.err
-	}
-	*b = out
-	return nil
-}
-
-// decoder reads fields from data. After the first error all reads return
-// zero values.
-type decoder struct {
-	data []byte
-	err  error
-}
-
-func (d *decoder) fail(format string, args ...any) {
-	if d.err == nil {
-		d.err = ErrEncoding.New(format, args...)
-	}
-	d.data = nil
+	w.Byte(byte(n))
+	w.String(s[n:])
 }
 
-func (d *decoder) uvarint(limit uint64) uint64 {
-	v, n := binary.Uvarint(d.data)
-	if n <= 0 || v > limit {
-		d.fail("number is cut off or above %d", limit)
-		return 0
-	}
-	d.data = d.data[n:]
-	return v
-}
-
-func (d *decoder) varint() int64 {
-	v, n := binary.Varint(d.data)
-	if n <= 0 {
-		d.fail("number is cut off")
-		return 0
-	}
-	d.data = d.data[n:]
-	return v
-}
-
-func (d *decoder) byte() byte {
-	if len(d.data) == 0 {
-		d.fail("record is cut off")
-		return 0
-	}
-	v := d.data[0]
-	d.data = d.data[1:]
-	return v
-}
-
-func (d *decoder) string(ref string) string {
-	shared := int(d.byte())
-	rest := int(d.uvarint(maxStringBytes))
-	if shared > len(ref) || rest > len(d.data) || shared+rest > maxStringBytes {
-		d.fail("string exceeds its reference, the input or %d bytes", maxStringBytes)
+func readString(r *wire.Reader, ref string) string {
+	shared := int(r.Byte())
+	rest := r.String(maxStringBytes)
+	if shared > len(ref) || shared+len(rest) > maxStringBytes {
+		r.Fail("string exceeds its reference or %d bytes", maxStringBytes)
 		return ""
 	}
-	tail := d.data[:rest]
-	d.data = d.data[rest:]
-	if rest == 0 {
+	if rest == "" {
 		return ref[:shared]
 	}
-	return ref[:shared] + string(tail)
+	return ref[:shared] + rest
 }
 
-func (d *decoder) record(prev *Record) Record {
-	r := Record{
-		Host:        mesh.HostID(d.string(string(prev.Host))),
-		Domain:      mesh.FailureDomain(d.string(string(prev.Domain))),
-		ControlAddr: d.string(prev.ControlAddr),
-		CallAddr:    d.string(prev.CallAddr),
-		Incarnation: prev.Incarnation + mesh.Incarnation(d.varint()),
+// readBatch reads records and fails for those without a host, a failure
+// domain or a known state.
+func readBatch(r *wire.Reader) Batch {
+	count := r.Uint(maxBatchRecords)
+	prev := &Record{}
+	var out Batch
+	for i := uint64(0); i < count && r.OK(); i++ {
+		out = append(out, readRecord(r, prev))
+		prev = &out[len(out)-1]
 	}
-	r.Started = r.Incarnation - mesh.Incarnation(d.varint())
-	r.State = State(d.byte())
-	r.Established = d.byte()&flagEstablished != 0
-	r.Revision = uint32(d.uvarint(1<<32 - 1))
-	count := d.uvarint(maxBackends)
+	return out
+}
+
+func readRecord(r *wire.Reader, prev *Record) Record {
+	rec := Record{
+		Host:        mesh.HostID(readString(r, string(prev.Host))),
+		Domain:      mesh.FailureDomain(readString(r, string(prev.Domain))),
+		ControlAddr: readString(r, prev.ControlAddr),
+		CallAddr:    readString(r, prev.CallAddr),
+		Incarnation: prev.Incarnation + mesh.Incarnation(r.Int()),
+	}
+	rec.Started = rec.Incarnation - mesh.Incarnation(r.Int())
+	rec.State = State(r.Byte())
+	rec.Established = r.Byte()&flagEstablished != 0
+	rec.Revision = uint32(r.Uint(1<<32 - 1))
+	count := r.Uint(maxBackends)
 	last := firstBackend(prev)
-	for i := uint64(0); i < count && d.err == nil; i++ {
-		last = d.backend(&last)
-		r.Backends = append(r.Backends, last)
+	for i := uint64(0); i < count && r.OK(); i++ {
+		last = readBackend(r, &last)
+		rec.Backends = append(rec.Backends, last)
 	}
-	if d.err == nil && (r.Host == "" || r.Domain == "" || r.State < Alive || r.State > Forgotten) {
-		d.fail("record has no host, no failure domain or state %d", r.State)
+	if r.OK() && (rec.Host == "" || rec.Domain == "" || rec.State < Alive || rec.State > Forgotten) {
+		r.Fail("record has no host, no failure domain or state %d", rec.State)
 	}
-	return r
+	return rec
 }
 
-func (d *decoder) backend(prev *Backend) Backend {
+func readBackend(r *wire.Reader, prev *Backend) Backend {
 	return Backend{
-		Instance: mesh.InstanceID(d.string(string(prev.Instance))),
-		Service:  mesh.Service(d.string(string(prev.Service))),
-		Version:  mesh.BackendVersion(d.string(string(prev.Version))),
-		Slots:    uint16(d.uvarint(1<<16 - 1)),
-		Draining: d.byte()&flagDraining != 0,
+		Instance: mesh.InstanceID(readString(r, string(prev.Instance))),
+		Service:  mesh.Service(readString(r, string(prev.Service))),
+		Version:  mesh.BackendVersion(readString(r, string(prev.Version))),
+		Slots:    uint16(r.Uint(1<<16 - 1)),
+		Draining: r.Byte()&flagDraining != 0,
 	}
 }
 
 var (
 	// Errors is the namespace of this package's errors.
 	Errors = errorx.NewNamespace("membership")
-	// ErrEncoding is the type of errors for malformed records.
-	ErrEncoding = Errors.NewType("encoding")
 	// ErrAnnouncement is the type of errors for malformed announcements.
 	ErrAnnouncement = Errors.NewType("announcement")
 	// ErrUnknownHost is the type of errors for hosts without a record.
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -22,7 +22,7 @@
 	isolationLimit = 30 * time.Second
 )
 
-// link is the state of the edge to a neighbour in the tree.
+// link is the state of the edge to a peer of Links.
 type link struct {
 	heard  mesh.Time
 	probed mesh.Time
@@ -45,16 +45,26 @@
 		r.neighbours = slices.Insert(r.neighbours, 0, parent)
 	}
 	for _, host := range old {
-		if !slices.Contains(r.neighbours, host) {
-			delete(r.links, host)
-			r.outboxes.drop(host)
-		}
+		r.dropLink(host)
 	}
 	for _, host := range r.neighbours {
-		if _, ok := r.links[host]; !ok {
-			r.links[host] = &link{heard: now}
-			r.outboxes.add(host, r.settings.Host, true)
-		}
+		r.addLink(now, host)
+	}
+}
+
+// addLink begins to exchange records with a peer.
+func (r *Reducer) addLink(now mesh.Time, host mesh.HostID) {
+	if _, ok := r.links[host]; !ok {
+		r.links[host] = &link{heard: now}
+		r.outboxes.add(host, r.settings.Host, true)
+	}
+}
+
+// dropLink forgets the state of a peer that is no longer a link.
+func (r *Reducer) dropLink(host mesh.HostID) {
+	if host != "" && !slices.Contains(r.Links(), host) {
+		delete(r.links, host)
+		r.outboxes.drop(host)
 	}
 }
 
@@ -75,7 +85,9 @@
 // detect probes silent neighbours and declares them suspect or dead. Only
 // neighbours in the tree are judged, and these are of the same failure domain.
 func (r *Reducer) detect(now mesh.Time, out *Output) {
-	r.inbound.expire(now)
+	for _, host := range r.inbound.expire(now) {
+		r.dropLink(host)
+	}
 	isolated := r.isolated(now)
 	for _, host := range r.neighbours {
 		l := r.links[host]
--- /dev/null
+++ b/internal/membership/encoding.go
@@ -0,0 +1,181 @@
+package membership
+
+import (
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/wire"
+)
+
+const (
+	// maxMessages bounds the messages of one envelope.
+	maxMessages = 256
+	// maxListEntries bounds the lists of a repair.
+	maxListEntries = 4096
+)
+
+// Bits of the parts that a message has.
+const (
+	partUnreachable = 1 << iota
+	partRecords
+	partRepair
+	partDigest
+)
+
+// EncodeMessages returns the compact encoding of messages to one peer.
+func EncodeMessages(messages []Message) []byte {
+	w := &wire.Writer{}
+	w.Uint(uint64(len(messages)))
+	for i := range messages {
+		messages[i].write(w)
+	}
+	return w.Buf
+}
+
+// DecodeMessages reads the encoding of EncodeMessages. The error is of type
+// wire.ErrMalformed.
+func DecodeMessages(data []byte) ([]Message, error) {
+	r := wire.NewReader(data)
+	count := r.Uint(maxMessages)
+	var messages []Message
+	for i := uint64(0); i < count && r.OK(); i++ {
+		messages = append(messages, readMessage(r))
+	}
+	if err := r.Close(); err != nil {
+		return nil, err
+	}
+	return messages, nil
+}
+
+func (m *Message) write(w *wire.Writer) {
+	w.Byte(byte(m.Kind))
+	w.Byte(flagIf(partUnreachable, len(m.Unreachable) > 0) | flagIf(partRecords, len(m.Records) > 0) |
+		flagIf(partRepair, m.Repair != nil) | flagIf(partDigest, m.Digest != 0))
+	if m.Digest != 0 {
+		w.Fixed(m.Digest)
+	}
+	if len(m.Unreachable) > 0 {
+		writeNames(w, m.Unreachable)
+	}
+	if len(m.Records) > 0 {
+		writeBatch(w, m.Records)
+	}
+	if m.Repair != nil {
+		m.Repair.write(w)
+	}
+}
+
+func readMessage(r *wire.Reader) Message {
+	m := Message{Kind: MessageKind(r.Byte())}
+	parts := r.Byte()
+	if m.Kind < KindHeartbeat || m.Kind > KindRepair {
+		r.Fail("message has the unknown kind %d", m.Kind)
+	}
+	if parts&partDigest != 0 {
+		m.Digest = r.Fixed()
+	}
+	if parts&partUnreachable != 0 {
+		m.Unreachable = readNames[mesh.FailureDomain](r)
+	}
+	if parts&partRecords != 0 {
+		m.Records = readBatch(r)
+	}
+	if parts&partRepair != 0 {
+		m.Repair = readRepair(r)
+	}
+	return m
+}
+
+func writeNames[T ~string](w *wire.Writer, names []T) {
+	w.Uint(uint64(len(names)))
+	prev := ""
+	for _, name := range names {
+		writeString(w, prev, string(name))
+		prev = string(name)
+	}
+}
+
+func readNames[T ~string](r *wire.Reader) []T {
+	return readList(r, func(prev *T) T { return T(readString(r, string(*prev))) })
+}
+
+// readList reads a count and as many entries. Each is given the one before.
+func readList[T any](r *wire.Reader, read func(prev *T) T) []T {
+	count := r.Uint(maxListEntries)
+	var out []T
+	var prev T
+	for i := uint64(0); i < count && r.OK(); i++ {
+		prev = read(&prev)
+		out = append(out, prev)
+	}
+	return out
+}
+
+func (s *Repair) write(w *wire.Writer) {
+	w.Uint(uint64(len(s.Digests)))
+	prev := ""
+	for _, d := range s.Digests {
+		writeString(w, prev, string(d.Domain))
+		w.Fixed(d.Digest)
+		w.Uint(uint64(d.Count))
+		prev = string(d.Domain)
+	}
+	w.Uint(uint64(len(s.Buckets)))
+	for _, b := range s.Buckets {
+		w.String(string(b.Domain))
+		w.Uint(uint64(len(b.Digests)))
+		for _, digest := range b.Digests {
+			w.Fixed(digest)
+		}
+	}
+	w.Uint(uint64(len(s.Summaries)))
+	for i := range s.Summaries {
+		s.Summaries[i].write(w)
+	}
+	writeNames(w, s.Wants)
+	writeNames(w, s.WantDomains)
+}
+
+func (s *BucketSummary) write(w *wire.Writer) {
+	w.String(string(s.Domain))
+	w.Byte(s.Bucket)
+	w.Uint(uint64(len(s.IDs)))
+	prev := RecordID{}
+	for _, id := range s.IDs {
+		writeString(w, string(prev.Host), string(id.Host))
+		w.Int(int64(id.Incarnation - prev.Incarnation))
+		w.Byte(byte(id.State))
+		w.Uint(uint64(id.Revision))
+		prev = id
+	}
+}
+
+func readRepair(r *wire.Reader) *Repair {
+	s := &Repair{}
+	s.Digests = readList(r, func(prev *DomainDigest) DomainDigest {
+		return DomainDigest{
+			Domain: mesh.FailureDomain(readString(r, string(prev.Domain))),
+			Digest: r.Fixed(), Count: uint32(r.Uint(1<<32 - 1)),
+		}
+	})
+	s.Buckets = readList(r, func(*BucketDigests) BucketDigests {
+		return BucketDigests{
+			Domain:  mesh.FailureDomain(r.String(maxStringBytes)),
+			Digests: readList(r, func(*uint64) uint64 { return r.Fixed() }),
+		}
+	})
+	s.Summaries = readList(r, func(*BucketSummary) BucketSummary { return readSummary(r) })
+	s.Wants = readNames[mesh.HostID](r)
+	s.WantDomains = readNames[mesh.FailureDomain](r)
+	return s
+}
+
+func readSummary(r *wire.Reader) BucketSummary {
+	s := BucketSummary{Domain: mesh.FailureDomain(r.String(maxStringBytes)), Bucket: r.Byte()}
+	s.IDs = readList(r, func(prev *RecordID) RecordID {
+		return RecordID{
+			Host:        mesh.HostID(readString(r, string(prev.Host))),
+			Incarnation: prev.Incarnation + mesh.Incarnation(r.Int()),
+			State:       State(r.Byte()), Revision: uint32(r.Uint(1<<32 - 1)),
+		}
+	})
+	return s
+}
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -74,8 +74,7 @@
 	IDs    []RecordID
 }
 
-// Batch is a list of records. Its gob form is the compact encoding of
-// AppendBatch.
+// Batch is a list of records.
 type Batch []Record
 
 // Send is a message to a peer. To is empty for a seed whose host is unknown.
--- a/internal/membership/reach.go
+++ b/internal/membership/reach.go
@@ -43,18 +43,24 @@
 	seen map[mesh.HostID]mesh.Time
 }
 
-func (l *inboundLinks) note(now mesh.Time, from mesh.HostID, sender *Record, local mesh.FailureDomain) {
-	if sender != nil && sender.Domain != local {
-		l.seen[from] = now
+// noteInbound makes a sender of another failure domain a link.
+func (r *Reducer) noteInbound(now mesh.Time, from mesh.HostID) {
+	if sender := r.table.records[from]; sender != nil && sender.Domain != r.settings.Domain {
+		r.inbound.seen[from] = now
+		r.addLink(now, from)
 	}
 }
 
-func (l *inboundLinks) expire(now mesh.Time) {
-	for host, seen := range l.seen {
-		if now.Sub(seen) > inboundLife {
+// expire removes the links that are no longer used and returns them.
+func (l *inboundLinks) expire(now mesh.Time) []mesh.HostID {
+	var expired []mesh.HostID
+	for _, host := range l.hosts() {
+		if now.Sub(l.seen[host]) > inboundLife {
 			delete(l.seen, host)
+			expired = append(expired, host)
 		}
 	}
+	return expired
 }
 
 func (l *inboundLinks) hosts() []mesh.HostID {
@@ -121,7 +127,9 @@
 func (r *Reducer) beatRing(now mesh.Time, out *Output) {
 	domain, ok := r.nextDomain()
 	if !ok || !r.IsReader() {
+		old := r.ring.peer
 		r.ring = ringLink{}
+		r.dropLink(old)
 		return
 	}
 	if r.ring.peer != "" && !r.ring.answered {
@@ -130,10 +138,12 @@
 	index, _ := r.selfIndex()
 	members := r.Members(domain)
 	peer := members[(index+r.ring.turn)%len(members)].Host
-	if peer != r.ring.peer {
-		r.outboxes.add(peer, r.settings.Host, true)
-	}
+	old := r.ring.peer
 	r.ring.peer, r.ring.answered = peer, false
+	if peer != old {
+		r.dropLink(old)
+		r.addLink(now, peer)
+	}
 	r.noteContact(now, domain)
 	r.contact(peer, KindHeartbeat, out)
 }
@@ -153,6 +163,7 @@
 }
 
 // exchangeLocal compares digests with a random member of the failure domain.
+// While records change, digests differ anyway and nothing is exchanged.
 func (r *Reducer) exchangeLocal(rng *rand.Rand, out *Output) {
 	if r.beats%deadExchangeRounds == 0 {
 		if dead := r.deadMembers(); len(dead) > 0 {
@@ -161,7 +172,7 @@
 		}
 	}
 	members := r.Members(r.settings.Domain)
-	if len(members) < 2 {
+	if len(members) < 2 || r.now.Sub(r.lastChange) < quietPeriod {
 		return
 	}
 	peer := members[rng.IntN(len(members))].Host
--- a/internal/membership/reducer.go
+++ b/internal/membership/reducer.go
@@ -232,7 +232,7 @@
 // answer replies to a heartbeat or an exchange.
 func (r *Reducer) answer(now mesh.Time, from mesh.HostID, m *Message, out *Output) {
 	if m.Kind == KindHeartbeat {
-		r.inbound.note(now, from, r.table.records[from], r.settings.Domain)
+		r.noteInbound(now, from)
 	}
 	reply := Message{Kind: KindHeartbeatReply, Digest: r.table.digest, Records: r.takeRecords(from)}
 	if m.Kind == KindHeartbeat {
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -12,7 +12,7 @@
 	quietPeriod = 1500 * time.Millisecond
 	// mismatchPatience is the time after which a neighbour with a differing
 	// digest is repaired even while other records change.
-	mismatchPatience = 5 * time.Second
+	mismatchPatience = 3 * time.Second
 	// repairInterval bounds the repairs that a node offers.
 	repairInterval = time.Second
 	// wantInterval is the time between two requests for all records of the
