Test whole sessions and random faults of distribution and membership

Readers contact seeds that they do not know with growing pauses, so that groups that started apart unite. With the floor check off, the restarted host applies v1 after v2 and the check of G1 fails; with it on, it applies nothing. With validation off, v2 with an open reference is applied and the check of G3 fails; with it on, v1 remains in force.

--- a/internal/distribution/apply.go
+++ b/internal/distribution/apply.go
@@ -86,7 +86,7 @@
 	if r.checks.floor && (!r.floor.known || version < r.floor.version) {
 		return
 	}
-	if version == r.applied.Version || (r.checks.order && version < r.applied.Version) {
+	if version <= r.applied.Version {
 		return
 	}
 	r.applied = held.head
--- /dev/null
+++ b/internal/distribution/random_test.go
@@ -0,0 +1,159 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const (
+	randomDomains   = 2
+	randomPerDomain = 3
+	// randomSettle is the time within which all nodes converge once faults end.
+	randomSettle = 40 * time.Second
+)
+
+// randomRun drives a mesh through random faults.
+type randomRun struct {
+	*sim
+	violations *violations
+	serial     int
+}
+
+func newRandomRun(seed uint64) *randomRun {
+	r := &randomRun{sim: newSim(seed)}
+	r.violations = watch(r.sim)
+	for i := range randomDomains {
+		r.addDomain([]mesh.FailureDomain{"ifrane", "azrou"}[i], randomPerDomain)
+	}
+	r.publish(nil, goodContent)
+	r.startAll()
+	return r
+}
+
+func (r *randomRun) content(bad bool) []byte {
+	r.serial++
+	lines := []string{"service roofs", fmt.Sprintf("route survey-%d roofs", r.serial)}
+	if bad {
+		lines = append(lines, "route stock depot")
+	}
+	return makeContent(lines...)
+}
+
+// faults are the random actions by name.
+func (r *randomRun) faults() map[string]func(*rapid.T) {
+	pick := func(t *rapid.T) *simHost { return rapid.SampledFrom(r.hosts).Draw(t, "host") }
+	return map[string]func(*rapid.T){
+		"publish": func(t *rapid.T) {
+			bad := rapid.IntRange(0, 3).Draw(t, "bad") == 0
+			publisher := pick(t)
+			if rapid.Bool().Draw(t, "silent") || publisher.paused {
+				publisher = nil
+			}
+			if !r.platformDown {
+				r.publish(publisher, r.content(bad))
+			}
+		},
+		"restart": func(t *rapid.T) { r.start(pick(t)) },
+		"stop":    func(t *rapid.T) { r.stop(pick(t)) },
+		"pause":   func(t *rapid.T) { pick(t).paused = true },
+		"resume": func(t *rapid.T) {
+			if h := pick(t); h.up && h.paused {
+				r.resume(h)
+			}
+		},
+		"platform": func(t *rapid.T) { r.platformDown = rapid.Bool().Draw(t, "down") },
+		"partition": func(t *rapid.T) {
+			side := map[*simHost]bool{}
+			for _, h := range r.hosts {
+				side[h] = rapid.Bool().Draw(t, "side")
+			}
+			r.blocked = func(from, to *simHost) bool { return side[from] != side[to] }
+			r.cutOff = func(h *simHost) bool { return side[h] }
+		},
+		"heal": func(t *rapid.T) { r.blocked, r.cutOff = nil, nil },
+		"network": func(t *rapid.T) {
+			r.loss = rapid.Float64Range(0, 0.4).Draw(t, "loss")
+			r.duplicate = rapid.Float64Range(0, 0.4).Draw(t, "duplicate")
+			r.extraDelay = time.Duration(rapid.IntRange(0, 3000).Draw(t, "delay")) * time.Millisecond
+		},
+		"wait": func(t *rapid.T) {
+			r.run(time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms")) * time.Millisecond)
+		},
+	}
+}
+
+// settle ends all faults, publishes a good version and waits.
+func (r *randomRun) settle() {
+	r.loss, r.duplicate, r.extraDelay = 0, 0, 0
+	r.blocked, r.cutOff, r.platformDown = nil, nil, false
+	for _, h := range r.hosts {
+		if !h.up {
+			r.start(h)
+		} else if h.paused {
+			r.resume(h)
+		}
+	}
+	r.publish(nil, r.content(false))
+	r.run(randomSettle)
+}
+
+// Guards against lost, duplicated, reordered and stale messages, restarts,
+// pauses, partitions and outages that make a host apply a lower version than
+// before (G1), apply a rejected version (G2, G3), or keep nodes apart for
+// ever (G10).
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := newRandomRun(rapid.Uint64().Draw(t, "seed"))
+		actions := r.faults()
+		t.Repeat(actions)
+		r.settle()
+		if len(r.violations.lower)+len(r.violations.bad) > 0 {
+			t.Fatalf("guarantees broken: %+v", *r.violations)
+		}
+		if lagging := r.lagging(r.head.Version); len(lagging) > 0 {
+			t.Fatalf("%s is not in force on %v", r.head.Version, lagging)
+		}
+		if incomplete := r.incomplete(); len(incomplete) > 0 {
+			t.Fatalf("%v do not know the running hosts", incomplete)
+		}
+	})
+}
+
+// Shows that the check of G1 fails when the floor is switched off, so that it
+// would find a node that trusts a peer which is behind.
+func TestFloorPreventsLowerVersion(t *testing.T) {
+	is := is.New(t)
+	for _, floor := range []bool{true, false} {
+		s := newSim(7)
+		v := watch(s)
+		s.tune = func(h *simHost) { h.dist.checks.floor = floor }
+		s.addDomain("ifrane", 3)
+		s.addDomain("azrou", 3)
+		s.publish(nil, goodContent)
+		s.startAll()
+		s.run(15 * time.Second)
+		restartBehind(s)
+		is.Equal(len(v.lower) == 0, floor)
+	}
+}
+
+// Shows that the check of G3 fails when validation is switched off, so that it
+// would find a version with an open reference that is applied.
+func TestValidationPreventsBadVersion(t *testing.T) {
+	is := is.New(t)
+	for _, validate := range []bool{true, false} {
+		s, v := newSession(3)
+		for _, h := range s.hosts {
+			h.dist.checks.validate = validate
+		}
+		s.publish(s.leaf("ifrane"), badContent)
+		s.run(4 * time.Second)
+		is.Equal(len(v.bad) == 0, validate)
+	}
+}
--- a/internal/distribution/reducer.go
+++ b/internal/distribution/reducer.go
@@ -100,7 +100,6 @@
 // what they prevent.
 type checks struct {
 	floor    bool
-	order    bool
 	validate bool
 }
 
@@ -115,7 +114,7 @@
 		domainAcks: make(map[mesh.FailureDomain]DomainAck),
 		local:      make(map[AggregateKind][]byte),
 		total:      make(map[AggregateKind][]byte),
-		checks:     checks{floor: true, order: true, validate: true},
+		checks:     checks{floor: true, validate: true},
 	}
 }
 
--- a/internal/distribution/sim_test.go
+++ b/internal/distribution/sim_test.go
@@ -192,10 +192,12 @@
 	extraDelay      time.Duration
 	blocked         func(from, to *simHost) bool
 	platformDown    bool
-	rows            map[string][]byte
-	objects         map[string][]byte
-	head            Head
-	reads           map[int64]int
+	// cutOff selects hosts that cannot reach the platform.
+	cutOff  func(h *simHost) bool
+	rows    map[string][]byte
+	objects map[string][]byte
+	head    Head
+	reads   map[int64]int
 
 	log io.Writer
 	// carry passes an envelope over the wire; nil delivers it as it is.
@@ -233,11 +235,12 @@
 // addDomain adds hosts that are not yet started. The first two of each failure
 // domain are seeds.
 func (s *sim) addDomain(domain mesh.FailureDomain, count int) {
+	number := len(s.seeds)
 	for i := range count {
 		h := &simHost{id: mesh.HostID(fmt.Sprintf("%s-%03d", domain, i+1)), domain: domain, backends: 1}
-		h.addr = fmt.Sprintf("10.%d.%d.%d:7100", len(s.seeds), i/250, i%250+1)
+		h.addr = fmt.Sprintf("10.%d.%d.%d:7100", number, i/250, i%250+1)
 		if i < 2 {
-			defer func() { s.seeds[domain] = append(s.seeds[domain], h.addr) }()
+			s.seeds[domain] = append(s.seeds[domain], h.addr)
 		}
 		s.hosts = append(s.hosts, h)
 		s.addrs[h.addr], s.ids[h.id] = h, h
@@ -398,6 +401,8 @@
 	switch {
 	case m.Push != nil && m.Push.Base != 0:
 		s.logf(h, "push %s as delta from %s to %s", m.Push.Head.Version, m.Push.Base, send.To)
+	case m.Push != nil && len(m.Push.Full) == 0:
+		s.logf(h, "tell %s of %s", send.To, m.Push.Head.Version)
 	case m.Push != nil:
 		s.logf(h, "push %s in full to %s", m.Push.Head.Version, send.To)
 	case m.Pull != nil:
@@ -470,7 +475,7 @@
 	}
 	s.after(simPlatformHalf, func() {
 		res := platform.Result{ID: req.ID, Op: req.Op, Status: platform.OK}
-		if s.platformDown {
+		if s.platformDown || (s.cutOff != nil && s.cutOff(h)) {
 			res.Status = platform.Unknown
 			answer(simPlatformDown, res)
 			return
--- a/internal/membership/join.go
+++ b/internal/membership/join.go
@@ -18,6 +18,9 @@
 	// seedInterval is the time between two contacts of a reader with a seed.
 	// They unite groups of nodes that started without reaching each other.
 	seedInterval = 15 * time.Second
+	// seedFirst is the first such time. It doubles up to seedInterval while a
+	// seed's host is unknown.
+	seedFirst = time.Second
 )
 
 // joinState is the progress of joining through the seeds.
@@ -26,6 +29,8 @@
 	done     bool
 	attempts int
 	next     mesh.Time
+	// pause is the time between contacts after the node has joined.
+	pause time.Duration
 }
 
 func otherSeeds(s Settings) []string {
@@ -49,20 +54,43 @@
 	if now < j.next {
 		return
 	}
+	candidates := j.seeds
 	if j.done {
-		j.next = now.Add(seedInterval)
-		if !r.IsReader() {
+		if candidates = r.seedsToUnite(now); len(candidates) == 0 {
 			return
 		}
 	} else {
 		j.next = now.Add(joinDelay(j.attempts, rng))
 		j.attempts++
 	}
-	addr := j.seeds[rng.IntN(len(j.seeds))]
+	addr := candidates[rng.IntN(len(candidates))]
 	m := Message{Kind: KindJoin, Digest: r.table.digest, Records: Batch{*r.Self()}}
 	out.Sends = append(out.Sends, Send{Addr: addr, Message: m})
 }
 
+// seedsToUnite returns the seeds that a reader contacts after it has joined:
+// those whose hosts it does not know, or all of them.
+func (r *Reducer) seedsToUnite(now mesh.Time) []string {
+	j := &r.join
+	j.pause = min(seedInterval, max(seedFirst, 2*j.pause))
+	j.next = now.Add(j.pause)
+	if !r.IsReader() {
+		j.pause = 0
+		return nil
+	}
+	known := make(map[string]bool, len(r.table.records))
+	for _, rec := range r.table.records {
+		known[rec.ControlAddr] = true
+	}
+	unknown := slices.DeleteFunc(slices.Clone(j.seeds), func(addr string) bool { return known[addr] })
+	if len(unknown) > 0 {
+		return unknown
+	}
+	j.pause = seedInterval
+	j.next = now.Add(j.pause)
+	return j.seeds
+}
+
 // joinDelay returns a random time up to the exponentially growing limit, and
 // at least joinBase so that an attempt can be answered.
 func joinDelay(attempts int, rng *rand.Rand) time.Duration {
