--- /dev/null
+++ b/internal/distribution/distribution_test.go
@@ -0,0 +1,180 @@
+package distribution
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+)
+
+// fixedTopology is a node with children and no parent.
+type fixedTopology struct {
+	reader   bool
+	children []mesh.HostID
+}
+
+func (f *fixedTopology) Joined() bool                             { return true }
+func (f *fixedTopology) Parent() (mesh.HostID, bool)              { return "", false }
+func (f *fixedTopology) Children() []mesh.HostID                  { return f.children }
+func (f *fixedTopology) IsReader() bool                           { return f.reader }
+func (f *fixedTopology) Readers(mesh.FailureDomain) []mesh.HostID { return nil }
+func (f *fixedTopology) Domains() []mesh.FailureDomain            { return []mesh.FailureDomain{"ifrane"} }
+func (f *fixedTopology) LiveCount(mesh.FailureDomain) int         { return 1 + len(f.children) }
+func (f *fixedTopology) Links() []mesh.HostID                     { return f.children }
+func (f *fixedTopology) Exchanges() []mesh.HostID                 { return nil }
+func (f *fixedTopology) DomainOf(mesh.HostID) (mesh.FailureDomain, bool) {
+	return "ifrane", true
+}
+
+func newReducer(children ...mesh.HostID) *Reducer {
+	s := Settings{Host: "self", Domain: "ifrane", Content: lineContent{}, Merges: map[AggregateKind]Merge{
+		1: func(a, b []byte) []byte { return []byte{a[0] + b[0]} },
+	}}
+	return New(s, &fixedTopology{reader: true, children: children})
+}
+
+func headResult(id uint64, full []byte, version mesh.ConfigVersion) *platform.Result {
+	value := fmt.Sprintf(`{"version":%d,"hash":%q,"writer":"w"}`, version, lineContent{}.Hash(full))
+	return &platform.Result{ID: id, Op: platform.OpRead, Status: platform.OK,
+		Rows: []platform.Row{{Key: HeadKey, Value: []byte(value), Revision: 1}}}
+}
+
+// Guards against a fresh head from a read that began before the request (G1),
+// and against one platform read for each of many requests.
+func TestFreshRequestsShareALaterRead(t *testing.T) {
+	is := is.New(t)
+	r, out := newReducer(), Output{}
+	now := simEpoch
+	r.Receive(now, "a", &Message{FreshRequest: 1}, &out)
+	is.Equal(len(out.Platform), 1)
+	for i := range 200 {
+		r.Receive(now.Add(time.Millisecond), mesh.HostID(fmt.Sprintf("b-%03d", i)), &Message{FreshRequest: 2}, &out)
+	}
+	is.Equal(len(out.Platform), 1) // they wait for the read under way to end
+	r.PlatformResult(now.Add(5*time.Millisecond), headResult(out.Platform[0].ID, goodContent, 1), &out)
+	is.Equal(len(out.Sends), 1)
+	is.Equal(out.Sends[0].To, mesh.HostID("a"))
+	out.Reset()
+	r.Tick(now.Add(150*time.Millisecond), 1, &out)
+	is.Equal(len(out.Platform), 1)
+	read := out.Platform[0].ID
+	out.Reset()
+	r.PlatformResult(now.Add(155*time.Millisecond), headResult(read, goodContent, 1), &out)
+	is.Equal(len(out.Sends), 200)
+}
+
+// Guards against a stale answer of an earlier process that sets the floor.
+func TestForeignNonceSetsNoFloor(t *testing.T) {
+	is := is.New(t)
+	r, out := newReducer(), Output{}
+	r.Receive(simEpoch, "a", &Message{Fresh: &Fresh{Nonce: 77, Head: Head{Version: 1}}}, &out)
+	is.True(!r.Established())
+}
+
+// Guards against content that does not match its hash, in full or as a delta
+// to another base. The full content is asked for instead.
+func TestHashMismatchIsNotApplied(t *testing.T) {
+	is := is.New(t)
+	r, out := newReducer(), Output{}
+	r.setFloor(Head{}, &out)
+	r.Published(simEpoch, Head{Version: 1, Hash: lineContent{}.Hash(goodContent)}, goodContent, &out)
+	is.Equal(r.AppliedHead().Version, mesh.ConfigVersion(1))
+	out.Reset()
+	next := Head{Version: 2, Hash: lineContent{}.Hash(nextContent)}
+	r.Receive(simEpoch, "a", &Message{Push: &Push{Head: next, Base: 1, Delta: []byte("+route other roofs")}}, &out)
+	is.Equal(len(out.Applied), 0)
+	is.Equal(*out.Sends[len(out.Sends)-1].Message.Pull, Pull{Want: 2, Have: 0})
+	r.Receive(simEpoch, "a", &Message{Push: &Push{Head: next, Full: compress(thirdContent)}}, &out)
+	is.Equal(len(out.Applied), 0)
+	r.Receive(simEpoch, "a", &Message{Push: &Push{Head: next, Full: compress(nextContent)}}, &out)
+	is.Equal(r.AppliedHead(), next)
+}
+
+// Guards against an older version that arrives late and replaces a newer one
+// (G1).
+func TestOlderVersionIsIgnored(t *testing.T) {
+	is := is.New(t)
+	r, out := newReducer(), Output{}
+	r.setFloor(Head{}, &out)
+	r.Published(simEpoch, Head{Version: 5, Hash: lineContent{}.Hash(nextContent)}, nextContent, &out)
+	old := Head{Version: 4, Hash: lineContent{}.Hash(goodContent)}
+	r.Receive(simEpoch, "a", &Message{Push: &Push{Head: old, Full: compress(goodContent)}}, &out)
+	is.Equal(r.AppliedHead().Version, mesh.ConfigVersion(5))
+}
+
+// Guards against a move's state that is replaced by a lower step, and against
+// an item that a peer misses and never gets.
+func TestItemsKeepTheHighestStep(t *testing.T) {
+	is := is.New(t)
+	a, b, out := newReducer("b"), newReducer(), Output{}
+	a.PutItem(simEpoch, Item{ID: "m1", Step: 4, Value: []byte("four")}, &out)
+	is.Equal(len(out.Sends), 1)
+	a.Receive(simEpoch, "b", &Message{Items: []Item{{ID: "m1", Step: 3, Value: []byte("three")}}}, &out)
+	item, _ := a.Item("m1")
+	is.Equal(item.Step, uint64(4))
+	b.PutItem(simEpoch, Item{ID: "m2", Step: 1, Value: []byte("one")}, &out)
+	relay(a, b, Message{Status: b.statusFor(simEpoch, "a", false)})
+	is.Equal(a.Items(), b.Items())
+	is.Equal(len(a.Items()), 2)
+}
+
+// relay delivers a message of b to a and the answers back and forth.
+func relay(a, b *Reducer, first Message) {
+	to, other := a, b
+	messages := []Message{first}
+	for round := 0; round < 6 && len(messages) > 0; round++ {
+		var out Output
+		for i := range messages {
+			to.Receive(simEpoch.Add(10*time.Second), other.settings.Host, &messages[i], &out)
+		}
+		messages = nil
+		for _, send := range out.Sends {
+			messages = append(messages, send.Message)
+		}
+		to, other = other, to
+	}
+}
+
+// Guards against acknowledgements that count a host twice, name more than
+// MaxMissing hosts, or take a report about another version for this one.
+func TestAcksAggregate(t *testing.T) {
+	is := is.New(t)
+	r, out := newReducer("a", "b", "c"), Output{}
+	r.setFloor(Head{}, &out)
+	r.Published(simEpoch, Head{Version: 2, Hash: lineContent{}.Hash(goodContent)}, goodContent, &out)
+	missing := make([]mesh.HostID, MaxMissing)
+	for i := range missing {
+		missing[i] = mesh.HostID(fmt.Sprintf("m-%02d", i))
+	}
+	r.Receive(simEpoch, "a", &Message{Status: &Status{Head: 2, Ack: &Ack{Version: 2, InForce: 10, Total: 30, Missing: missing}}}, &out)
+	r.Receive(simEpoch, "b", &Message{Status: &Status{Head: 1, Ack: &Ack{Version: 1, InForce: 7, Total: 7}}}, &out)
+	ack := r.subtreeAck(simEpoch)
+	is.Equal(ack.InForce, uint32(11))
+	is.Equal(ack.Total, uint32(39)) // self, 30, 7 and the silent child
+	is.Equal(len(ack.Missing), MaxMissing)
+	ack = r.subtreeAck(simEpoch.Add(ackLife + time.Second))
+	is.Equal(ack.Missing, []mesh.HostID{"a", "b", "c"}) // reports that are too old do not count
+}
+
+// Guards against aggregates of other packages that are lost, counted twice or
+// kept after their removal on the way through the tree.
+func TestAggregatesReachAllNodes(t *testing.T) {
+	is := is.New(t)
+	s, _ := newSession(4)
+	for _, h := range s.hosts {
+		h.dist.SetLocal(1, []byte{2})
+	}
+	s.run(15 * time.Second)
+	for _, h := range s.hosts {
+		is.Equal(h.dist.Aggregate(1), []byte{16})
+	}
+	s.hosts[0].dist.SetLocal(1, nil)
+	s.run(15 * time.Second)
+	for _, h := range s.hosts {
+		is.Equal(h.dist.Aggregate(1), []byte{14})
+	}
+}
