--- /dev/null
+++ b/internal/distribution/reducer.go
@@ -0,0 +1,205 @@
+// Package distribution brings every node to the newest accepted
+// configuration: it polls the head, pushes deltas down the tree, repairs what
+// was lost, and never applies a version below one that the host has applied
+// before.
+//
+// It is a pure reducer. Time, seeds and platform results are arguments,
+// messages and platform requests are appended to an Output, and iteration
+// order is deterministic.
+package distribution
+
+import (
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+)
+
+// Content interprets the bytes of a configuration. Implementations are pure.
+type Content interface {
+	// Hash returns the SHA-256 of the canonical content in hex.
+	Hash(full []byte) string
+	// Validate decodes the content and checks that every reference in it is
+	// closed. The error is the reason of the rejection.
+	Validate(full []byte) error
+	// Diff returns the delta from base to next.
+	Diff(base, next []byte) ([]byte, error)
+	// Patch applies a delta to base and returns the canonical content.
+	Patch(base, delta []byte) ([]byte, error)
+}
+
+// Topology is the view of the mesh that distribution needs.
+// *membership.Reducer implements it.
+type Topology interface {
+	// Joined reports whether the node knows its place in the tree.
+	Joined() bool
+	Parent() (mesh.HostID, bool)
+	Children() []mesh.HostID
+	IsReader() bool
+	Readers(domain mesh.FailureDomain) []mesh.HostID
+	Domains() []mesh.FailureDomain
+	// DomainOf returns the failure domain of a known host.
+	DomainOf(host mesh.HostID) (mesh.FailureDomain, bool)
+	// LiveCount returns the number of live members of a failure domain.
+	LiveCount(domain mesh.FailureDomain) int
+	// Links returns the peers that new versions are pushed to.
+	Links() []mesh.HostID
+	// Exchanges returns the peers that are sent a Status in this step.
+	Exchanges() []mesh.HostID
+}
+
+// Merge combines two aggregates of one kind. It must be commutative and
+// associative and must not change its arguments.
+type Merge func(a, b []byte) []byte
+
+// Settings describe the local host and the packages that share the channel.
+type Settings struct {
+	Host    mesh.HostID
+	Domain  mesh.FailureDomain
+	Content Content
+	// ItemStep returns the step of the value of a platform row below
+	// ItemPrefix. It is false for a row that is malformed.
+	ItemStep func(value []byte) (step uint64, ok bool)
+	// Merges holds the merge function of each kind of aggregate.
+	Merges map[AggregateKind]Merge
+}
+
+// Reducer holds the distribution state of one node.
+type Reducer struct {
+	settings Settings
+	topology Topology
+	now      mesh.Time
+
+	// head is the newest known configuration. Its hash is empty while only the
+	// version is known.
+	head     Head
+	applied  Head
+	floor    floor
+	contents contents
+	rejected map[mesh.ConfigVersion]Rejection
+
+	reads platformReads
+	fetch fetch
+	serve serveQueue
+	peers map[mesh.HostID]*peer
+
+	items      map[string]Item
+	itemDigest uint64
+	itemsSince mesh.Time
+
+	domainAcks map[mesh.FailureDomain]DomainAck
+	local      map[AggregateKind][]byte
+	total      map[AggregateKind][]byte
+
+	checks checks
+}
+
+// checks are the conditions of an apply. Tests switch single ones off to show
+// what they prevent.
+type checks struct {
+	floor    bool
+	validate bool
+}
+
+// New returns the reducer of a node that knows no configuration.
+func New(s Settings, t Topology) *Reducer {
+	return &Reducer{
+		settings:   s,
+		topology:   t,
+		rejected:   make(map[mesh.ConfigVersion]Rejection),
+		peers:      make(map[mesh.HostID]*peer),
+		items:      make(map[string]Item),
+		domainAcks: make(map[mesh.FailureDomain]DomainAck),
+		local:      make(map[AggregateKind][]byte),
+		total:      make(map[AggregateKind][]byte),
+		checks:     checks{floor: true, validate: true},
+	}
+}
+
+// random returns the source for the random choices of one step. The host is
+// mixed in, as nodes may be given equal seeds.
+func (r *Reducer) random(seed uint64) *rand.Rand {
+	return rand.New(rand.NewPCG(seed, xxhash.Sum64String(string(r.settings.Host))))
+}
+
+// Tick advances time: head polling, requests for a fresh head, status
+// exchange with the peers of Topology.Exchanges, and retries. It follows the
+// Tick of the membership in the same step.
+func (r *Reducer) Tick(now mesh.Time, seed uint64, out *Output) {
+	r.now = now
+	rng := r.random(seed)
+	r.expirePeers(now)
+	r.tickFloor(now, rng, out)
+	r.tickReads(now, rng, out)
+	r.tickFetch(now, rng, out)
+	r.tickServe(now, out)
+	r.updateOwnDomain(now)
+	for _, host := range r.topology.Exchanges() {
+		r.sendStatus(now, host, out)
+	}
+}
+
+// Receive handles a message of a member.
+func (r *Reducer) Receive(now mesh.Time, from mesh.HostID, m *Message, out *Output) {
+	r.now = now
+	if m.FreshRequest != 0 {
+		r.acceptFreshRequest(now, from, m.FreshRequest, out)
+	}
+	if m.Fresh != nil {
+		r.acceptFresh(now, from, m.Fresh, out)
+	}
+	if m.Push != nil {
+		r.acceptPush(now, from, m.Push, out)
+	}
+	if m.Pull != nil {
+		r.acceptPull(now, from, m.Pull, out)
+	}
+	if len(m.Items) > 0 {
+		r.acceptItems(from, m.Items, out)
+	}
+	if len(m.ItemSteps) > 0 || len(m.WantItems) > 0 {
+		r.acceptItemSteps(from, m, out)
+	}
+	if m.Status != nil {
+		r.acceptStatus(now, from, m.Status, out)
+	}
+}
+
+// PlatformResult handles the result of a platform request of this package.
+func (r *Reducer) PlatformResult(now mesh.Time, res *platform.Result, out *Output) {
+	r.now = now
+	switch res.Op {
+	case platform.OpRead:
+		r.acceptRead(now, res, out)
+	case platform.OpGetObject:
+		r.acceptObject(now, res, out)
+	}
+}
+
+// Published tells that this node has moved the platform's head to content.
+func (r *Reducer) Published(now mesh.Time, head Head, content []byte, out *Output) {
+	r.now = now
+	r.acceptContent(now, "", head, content, out)
+}
+
+func (r *Reducer) send(to mesh.HostID, m Message, out *Output) {
+	out.Sends = append(out.Sends, Send{To: to, Message: m})
+}
+
+// Head returns the newest configuration known here.
+func (r *Reducer) Head() Head { return r.head }
+
+// AppliedHead returns the configuration in force on this node.
+func (r *Reducer) AppliedHead() Head { return r.applied }
+
+// Rejections returns the versions that this node refused and still remembers,
+// in ascending order.
+func (r *Reducer) Rejections() []Rejection {
+	out := make([]Rejection, 0, len(r.rejected))
+	for _, version := range sortedKeys(r.rejected) {
+		out = append(out, r.rejected[version])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/membership/batch.go
@@ -0,0 +1,155 @@
+package membership
+
+import (
+	"github.com/joomcode/errorx"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/wire"
+)
+
+const (
+	// maxBatchRecords bounds the records of one message.
+	maxBatchRecords = 4096
+	// maxBackends bounds the backend servers of one host.
+	maxBackends = 64
+	// maxStringBytes bounds each string of a record, in bytes.
+	maxStringBytes = 255
+)
+
+const (
+	flagEstablished = 1 << iota
+	flagDraining
+)
+
+// writeBatch appends records. Strings are coded against the same field of the
+// previous record, as the hosts of one failure domain share most of their
+// names and addresses.
+func writeBatch(w *wire.Writer, b Batch) {
+	w.Uint(uint64(len(b)))
+	prev := &Record{}
+	for i := range b {
+		writeRecord(w, prev, &b[i])
+		prev = &b[i]
+	}
+}
+
+func writeRecord(w *wire.Writer, prev, r *Record) {
+	writeString(w, string(prev.Host), string(r.Host))
+	writeString(w, string(prev.Domain), string(r.Domain))
+	writeString(w, prev.ControlAddr, r.ControlAddr)
+	writeString(w, prev.CallAddr, r.CallAddr)
+	w.Int(int64(r.Incarnation - prev.Incarnation))
+	w.Int(int64(r.Incarnation - r.Started))
+	w.Byte(byte(r.State))
+	w.Byte(flagIf(flagEstablished, r.Established))
+	w.Uint(uint64(r.Revision))
+	w.Uint(uint64(len(r.Backends)))
+	last := firstBackend(prev)
+	for i := range r.Backends {
+		writeBackend(w, &last, &r.Backends[i])
+		last = r.Backends[i]
+	}
+}
+
+func writeBackend(w *wire.Writer, prev, b *Backend) {
+	writeString(w, string(prev.Instance), string(b.Instance))
+	writeString(w, string(prev.Service), string(b.Service))
+	writeString(w, string(prev.Version), string(b.Version))
+	w.Uint(uint64(b.Slots))
+	w.Byte(flagIf(flagDraining, b.Draining))
+}
+
+// firstBackend returns the reference for the first backend server of the
+// record after prev.
+func firstBackend(prev *Record) Backend {
+	if len(prev.Backends) == 0 {
+		return Backend{}
+	}
+	return prev.Backends[0]
+}
+
+func flagIf(flag byte, set bool) byte {
+	if set {
+		return flag
+	}
+	return 0
+}
+
+// writeString writes the length of the prefix shared with ref and the rest.
+func writeString(w *wire.Writer, ref, s string) {
+	n := 0
+	for n < len(ref) && n < len(s) && n < maxStringBytes && ref[n] == s[n] {
+		n++
+	}
+	w.Byte(byte(n))
+	w.String(s[n:])
+}
+
+func readString(r *wire.Reader, ref string) string {
+	shared := int(r.Byte())
+	rest := r.String(maxStringBytes)
+	if shared > len(ref) || shared+len(rest) > maxStringBytes {
+		r.Fail("string exceeds its reference or %d bytes", maxStringBytes)
+		return ""
+	}
+	if rest == "" {
+		return ref[:shared]
+	}
+	return ref[:shared] + rest
+}
+
+// readBatch reads records and fails for those without a host, a failure
+// domain or a known state.
+func readBatch(r *wire.Reader) Batch {
+	count := r.Uint(maxBatchRecords)
+	prev := &Record{}
+	var out Batch
+	for i := uint64(0); i < count && r.OK(); i++ {
+		out = append(out, readRecord(r, prev))
+		prev = &out[len(out)-1]
+	}
+	return out
+}
+
+func readRecord(r *wire.Reader, prev *Record) Record {
+	rec := Record{
+		Host:        mesh.HostID(readString(r, string(prev.Host))),
+		Domain:      mesh.FailureDomain(readString(r, string(prev.Domain))),
+		ControlAddr: readString(r, prev.ControlAddr),
+		CallAddr:    readString(r, prev.CallAddr),
+		Incarnation: prev.Incarnation + mesh.Incarnation(r.Int()),
+	}
+	rec.Started = rec.Incarnation - mesh.Incarnation(r.Int())
+	rec.State = State(r.Byte())
+	rec.Established = r.Byte()&flagEstablished != 0
+	rec.Revision = uint32(r.Uint(1<<32 - 1))
+	count := r.Uint(maxBackends)
+	last := firstBackend(prev)
+	for i := uint64(0); i < count && r.OK(); i++ {
+		last = readBackend(r, &last)
+		rec.Backends = append(rec.Backends, last)
+	}
+	if r.OK() && (rec.Host == "" || rec.Domain == "" || rec.State < Alive || rec.State > Forgotten) {
+		r.Fail("record has no host, no failure domain or state %d", rec.State)
+	}
+	return rec
+}
+
+func readBackend(r *wire.Reader, prev *Backend) Backend {
+	return Backend{
+		Instance: mesh.InstanceID(readString(r, string(prev.Instance))),
+		Service:  mesh.Service(readString(r, string(prev.Service))),
+		Version:  mesh.BackendVersion(readString(r, string(prev.Version))),
+		Slots:    uint16(r.Uint(1<<16 - 1)),
+		Draining: r.Byte()&flagDraining != 0,
+	}
+}
+
+var (
+	// Errors is the namespace of this package's errors.
+	Errors = errorx.NewNamespace("membership")
+	// ErrAnnouncement is the type of errors for malformed announcements.
+	ErrAnnouncement = Errors.NewType("announcement")
+	// ErrUnknownHost is the type of errors for hosts without a record.
+	ErrUnknownHost = Errors.NewType("unknown_host")
+)
