--- /dev/null
+++ b/internal/admission/types.go
@@ -0,0 +1,90 @@
+// Package admission is the gate of a host: it decides which forwarded calls
+// run, wait or are refused before any byte reaches a backend server. It is a
+// pure reducer: time is an argument and effects are appended to the caller's
+// slice.
+package admission
+
+import (
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+// Limits bounds the work that the gate accepts.
+type Limits struct {
+	// QueuePerSlot is the number of calls that may wait for each slot of an
+	// instance.
+	QueuePerSlot int
+	// InitialServiceTime is the expected duration of a call at an instance
+	// that has not finished any call.
+	InitialServiceTime time.Duration
+}
+
+// Instance describes one backend server on this host.
+type Instance struct {
+	ID    mesh.InstanceID
+	Slots uint16
+	// Draining is set once the backend server takes no new work.
+	Draining bool
+}
+
+// Call is a forwarded call at the gate.
+type Call struct {
+	// ID is unique among the calls at this gate.
+	ID       mesh.CallID
+	Instance mesh.InstanceID
+	Priority mesh.Priority
+	// Deadline is the time after which an answer is useless.
+	Deadline    mesh.Time
+	Fingerprint mesh.Fingerprint
+	// Exclusive is set for a suspect of package poison. The call runs while no
+	// other call is in flight in the same instance.
+	Exclusive bool
+}
+
+// Action is the kind of an Effect.
+type Action uint8
+
+// Actions of the gate.
+const (
+	// Dispatch gives the call to its instance.
+	Dispatch Action = iota + 1
+	// Reject answers the call as not run, with Reason.
+	Reject
+	// InstanceEmpty reports that a draining instance has no call left.
+	InstanceEmpty
+	// NodeEmpty reports that the draining gate has no call left.
+	NodeEmpty
+)
+
+// Effect is one result of an event. Call is valid for Dispatch and Reject.
+type Effect struct {
+	Action   Action
+	Call     mesh.CallID
+	Instance mesh.InstanceID
+	Reason   mesh.Reason
+	Deadline mesh.Time
+	// Load is the load of the instance after the step.
+	Load mesh.Load
+}
+
+// DoneResult tells how a dispatched call ended.
+type DoneResult struct {
+	// Ran is set when the instance worked on the call, so that its duration
+	// counts for the estimated service time.
+	Ran bool
+	// Crashed is set when the instance died with the call in flight. The
+	// remaining calls in flight are still reported one by one.
+	Crashed bool
+}
+
+// Gate is the admission state of one host. It is not safe for concurrent use.
+type Gate struct {
+	limits    Limits
+	instances map[mesh.InstanceID]*instance
+	calls     map[mesh.CallID]*call
+	order     []*instance // sorted by ID, so that effects have a fixed order
+	free      *call
+	draining  bool
+	reported  bool // NodeEmpty was reported
+}
