--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -1,55 +1,274 @@
 package admission
 
-import "github.com/chicoryscale/chicoryscale/internal/mesh"
+import (
+	"cmp"
+	"slices"
+	"time"
 
-type (
-	instance struct{}
-	call     struct{ next *call }
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
 )
 
-// New returns a Gate without instances.
+const (
+	defaultQueuePerSlot       = 8
+	defaultInitialServiceTime = 5 * time.Millisecond
+)
+
+// New returns a Gate without instances. Zero limits stand for the defaults:
+// 8 queued calls per slot and an initial service time of 5 ms.
 func New(limits Limits) *Gate {
+	if limits.QueuePerSlot <= 0 {
+		limits.QueuePerSlot = defaultQueuePerSlot
+	}
+	if limits.InitialServiceTime <= 0 {
+		limits.InitialServiceTime = defaultInitialServiceTime
+	}
 	return &Gate{
 		limits:    limits,
 		instances: make(map[mesh.InstanceID]*instance),
-		calls:     make(map[mesh.CallID]*call),
+		calls:     make(map[mesh.CallID]*call, 256),
 	}
 }
 
-// SetInstance adds an instance or changes its slots. A draining instance
-// takes no new call: its queued calls are rejected, those in flight finish.
-func (g *Gate) SetInstance(now mesh.Time, in Instance, out []Effect) []Effect { return out }
+// SetInstance adds an instance or changes its slots. The caller passes every
+// announcement, because an announcement also ends the refusal of calls after a
+// crash. A draining instance takes no new call: its queued calls are rejected,
+// those in flight finish.
+func (g *Gate) SetInstance(now mesh.Time, in Instance, out []Effect) []Effect {
+	inst := g.instances[in.ID]
+	if inst == nil {
+		inst = newInstance(in.ID, g.limits)
+		g.instances[in.ID] = inst
+		i, _ := slices.BinarySearchFunc(g.order, in.ID, func(x *instance, id mesh.InstanceID) int {
+			return cmp.Compare(x.id, id)
+		})
+		g.order = slices.Insert(g.order, i, inst)
+	}
+	inst.slots = max(1, int(in.Slots))
+	inst.down = false
+	inst.draining = in.Draining
+	if inst.draining {
+		out = g.rejectQueue(inst, mesh.ReasonDraining, out)
+		return g.reportEmpty(inst, out)
+	}
+	inst.reported = false
+	return g.dispatch(now, inst, out)
+}
 
 // RemoveInstance removes an instance whose lease has ended. Its queued calls
 // are rejected; calls in flight stay until Done.
-func (g *Gate) RemoveInstance(now mesh.Time, id mesh.InstanceID, out []Effect) []Effect { return out }
+func (g *Gate) RemoveInstance(_ mesh.Time, id mesh.InstanceID, out []Effect) []Effect {
+	inst := g.instances[id]
+	if inst == nil {
+		return out
+	}
+	inst.down = true
+	delete(g.instances, id)
+	g.order = slices.DeleteFunc(g.order, func(x *instance) bool { return x == inst })
+	out = g.rejectQueue(inst, mesh.ReasonNoTarget, out)
+	return g.reportEmpty(inst, out)
+}
 
-// Arrive admits, queues or rejects a call.
-func (g *Gate) Arrive(now mesh.Time, c Call, out []Effect) []Effect { return out }
+// Arrive dispatches, queues or rejects a call. Queueing has no effect. A call
+// ID that is already present is rejected as a duplicate.
+func (g *Gate) Arrive(now mesh.Time, c Call, out []Effect) []Effect {
+	inst := g.instances[c.Instance]
+	if reason := g.refuse(now, inst, c); reason != mesh.ReasonNone {
+		return append(out, rejection(c.ID, c.Instance, reason, inst))
+	}
+	rec := g.newRecord(c, inst)
+	if !inst.enqueue(rec, g.limits.QueuePerSlot) {
+		return g.rejectRecord(rec, mesh.ReasonOverload, out)
+	}
+	if inst.overfull(g.limits.QueuePerSlot) {
+		out = g.rejectRecord(inst.popLast(), mesh.ReasonOverload, out)
+	}
+	return g.dispatch(now, inst, out)
+}
 
-// Done releases the slot of a dispatched call.
-func (g *Gate) Done(now mesh.Time, id mesh.CallID, res DoneResult, out []Effect) []Effect { return out }
+// Done releases the slot of a dispatched call. An unknown call has no effect.
+func (g *Gate) Done(now mesh.Time, id mesh.CallID, finish Finish, out []Effect) []Effect {
+	rec := g.calls[id]
+	if rec == nil || rec.state == queued {
+		return out
+	}
+	inst := rec.inst
+	switch finish {
+	case Finished:
+		inst.observe(now.Sub(rec.started))
+	case Lost:
+		if rec.state == running {
+			inst.rememberLost(now, rec.Fingerprint)
+		}
+	}
+	inst.release(rec)
+	g.recycle(rec)
+	out = g.dispatch(now, inst, out)
+	return g.reportEmpty(inst, out)
+}
+
+// Crashed ends a dispatched call whose instance died. The first report of a
+// crash appends to inFlight the fingerprints of all calls that the crash may
+// be due to: those in flight and those lost shortly before. Later reports of
+// the same crash append none. The instance takes no call until it is announced
+// again, and its queued calls are rejected.
+func (g *Gate) Crashed(now mesh.Time, id mesh.CallID, inFlight []mesh.Fingerprint, out []Effect) ([]mesh.Fingerprint, []Effect) {
+	rec := g.calls[id]
+	if rec == nil || rec.state == queued {
+		return inFlight, out
+	}
+	inst := rec.inst
+	if rec.state == running {
+		inFlight = inst.appendSuspects(now, inFlight)
+		inst.crash()
+		out = g.rejectQueue(inst, mesh.ReasonConnectionLost, out)
+	}
+	inst.release(rec)
+	g.recycle(rec)
+	return inFlight, g.reportEmpty(inst, out)
+}
 
-// Cancel removes a queued call without an effect for it. A call in flight
-// keeps its slot until Done. It reports whether the call was queued.
+// Cancel removes a queued call without an effect for it and reports whether
+// there was one. A call in flight keeps its slot until Done.
 func (g *Gate) Cancel(now mesh.Time, id mesh.CallID, out []Effect) ([]Effect, bool) {
-	return out, false
+	rec := g.calls[id]
+	if rec == nil || rec.state != queued {
+		return out, false
+	}
+	inst := rec.inst
+	inst.dequeue(rec)
+	g.recycle(rec)
+	out = g.dispatch(now, inst, out)
+	return g.reportEmpty(inst, out), true
 }
 
 // Tick rejects queued calls whose deadline can no longer be met.
-func (g *Gate) Tick(now mesh.Time, out []Effect) []Effect { return out }
+func (g *Gate) Tick(now mesh.Time, out []Effect) []Effect {
+	for _, inst := range g.order {
+		for i := 0; i < len(inst.queue); {
+			rec := inst.queue[i]
+			if inst.canMeet(now, rec.Deadline) {
+				i++
+				continue
+			}
+			inst.dequeue(rec)
+			out = g.rejectRecord(rec, mesh.ReasonDeadline, out)
+		}
+		out = g.dispatch(now, inst, out)
+		out = g.reportEmpty(inst, out)
+	}
+	return out
+}
 
-// Drain stops the whole gate: new calls are rejected, accepted calls finish.
-func (g *Gate) Drain(now mesh.Time, out []Effect) []Effect { return out }
+// Drain stops the whole gate: new calls are rejected, accepted calls finish,
+// including queued ones, whose wait is bounded by their deadlines.
+func (g *Gate) Drain(_ mesh.Time, out []Effect) []Effect {
+	g.draining = true
+	return g.reportNodeEmpty(out)
+}
 
 // Load returns the load of an instance; the zero Load for an unknown one.
-func (g *Gate) Load(id mesh.InstanceID) mesh.Load { return mesh.Load{} }
+func (g *Gate) Load(id mesh.InstanceID) mesh.Load {
+	if inst := g.instances[id]; inst != nil {
+		return inst.load()
+	}
+	return mesh.Load{}
+}
 
 // Empty reports whether no call is queued or in flight.
 func (g *Gate) Empty() bool { return len(g.calls) == 0 }
 
-// AppendInFlight appends the fingerprints of the calls in flight in an
-// instance to dst, in the order of dispatch, for poison.Table.Crashed.
-func (g *Gate) AppendInFlight(id mesh.InstanceID, dst []mesh.Fingerprint) []mesh.Fingerprint {
-	return dst
+func (g *Gate) refuse(now mesh.Time, inst *instance, c Call) mesh.Reason {
+	switch {
+	case g.calls[c.ID] != nil:
+		return mesh.ReasonDuplicate
+	case g.draining:
+		return mesh.ReasonDraining
+	case inst == nil || inst.down:
+		return mesh.ReasonNoTarget
+	case inst.draining:
+		return mesh.ReasonDraining
+	case !inst.canAdmit(now, c):
+		return mesh.ReasonDeadline
+	}
+	return mesh.ReasonNone
+}
+
+// dispatch starts queued calls in order while slots are free. A call that must
+// run alone holds back the calls behind it until the instance is idle;
+// otherwise it could wait for ever next to a steady flow of calls.
+func (g *Gate) dispatch(now mesh.Time, inst *instance, out []Effect) []Effect {
+	for len(inst.queue) > 0 && inst.hasFreeSlot() {
+		rec := inst.queue[0]
+		if !inst.canMeet(now, rec.Deadline) {
+			inst.dequeue(rec)
+			out = g.rejectRecord(rec, mesh.ReasonDeadline, out)
+			continue
+		}
+		if rec.Exclusive && len(inst.running) > 0 {
+			break
+		}
+		inst.dequeue(rec)
+		inst.start(now, rec)
+		out = append(out, Effect{Action: Dispatch, Call: rec.ID, Instance: inst.id,
+			Deadline: rec.Deadline, Load: inst.load()})
+	}
+	return out
+}
+
+func (g *Gate) rejectQueue(inst *instance, reason mesh.Reason, out []Effect) []Effect {
+	for len(inst.queue) > 0 {
+		out = g.rejectRecord(inst.popLast(), reason, out)
+	}
+	return out
+}
+
+func (g *Gate) rejectRecord(rec *call, reason mesh.Reason, out []Effect) []Effect {
+	out = append(out, rejection(rec.ID, rec.Instance, reason, rec.inst))
+	g.recycle(rec)
+	return out
+}
+
+func rejection(id mesh.CallID, target mesh.InstanceID, reason mesh.Reason, inst *instance) Effect {
+	e := Effect{Action: Reject, Call: id, Instance: target, Reason: reason}
+	if inst != nil {
+		e.Load = inst.load()
+	}
+	return e
+}
+
+// reportEmpty reports once that a draining instance or the draining gate has
+// no call left.
+func (g *Gate) reportEmpty(inst *instance, out []Effect) []Effect {
+	if inst.draining && !inst.reported && inst.empty() {
+		inst.reported = true
+		out = append(out, Effect{Action: InstanceEmpty, Instance: inst.id, Load: inst.load()})
+	}
+	return g.reportNodeEmpty(out)
+}
+
+func (g *Gate) reportNodeEmpty(out []Effect) []Effect {
+	if g.draining && !g.reported && g.Empty() {
+		g.reported = true
+		out = append(out, Effect{Action: NodeEmpty})
+	}
+	return out
+}
+
+func (g *Gate) newRecord(c Call, inst *instance) *call {
+	rec := g.free
+	if rec == nil {
+		rec = &call{}
+	} else {
+		g.free = rec.next
+	}
+	g.sequence++
+	*rec = call{Call: c, inst: inst, state: queued, sequence: g.sequence}
+	g.calls[c.ID] = rec
+	return rec
+}
+
+func (g *Gate) recycle(rec *call) {
+	delete(g.calls, rec.ID)
+	*rec = call{next: g.free}
+	g.free = rec
 }
--- /dev/null
+++ b/internal/admission/instance.go
@@ -0,0 +1,186 @@
+package admission
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const (
+	// serviceTimeWeight is the weight of a new duration in the moving averages.
+	serviceTimeWeight = 1.0 / 32
+	// marginDeviations is added to the mean service time for a call that has
+	// to wait. Without it, calls under overload start with just the mean time
+	// left and about a third of them end too late.
+	marginDeviations = 3
+	// lostWindow is the time for which a call that lost its connection still
+	// counts as in flight for a crash. Connections of a dying process break one
+	// after the other before the crash is recognised.
+	lostWindow = time.Second
+	// maxLost bounds the remembered lost calls of an instance.
+	maxLost = 64
+)
+
+type callState uint8
+
+const (
+	queued callState = iota + 1
+	running
+	orphaned // in flight when its instance crashed, not yet reported
+)
+
+// call is the record of a call at the gate.
+type call struct {
+	Call
+	inst     *instance
+	state    callState
+	sequence uint64 // order of arrival
+	started  mesh.Time
+	next     *call // in the list of free records
+}
+
+type lostCall struct {
+	fingerprint mesh.Fingerprint
+	at          mesh.Time
+}
+
+type instance struct {
+	id        mesh.InstanceID
+	slots     int
+	draining  bool
+	down      bool // crashed or removed
+	reported  bool // InstanceEmpty was reported
+	queue     []*call
+	running   []*call
+	orphans   int
+	lost      []lostCall
+	mean      time.Duration // moving average of service times
+	deviation time.Duration // moving average of the distance from the mean
+}
+
+func newInstance(id mesh.InstanceID, limits Limits) *instance {
+	return &instance{id: id, mean: limits.InitialServiceTime}
+}
+
+func (i *instance) load() mesh.Load {
+	return mesh.Load{Slots: uint16(i.slots), InUse: uint16(len(i.running)), Queued: uint16(len(i.queue))}
+}
+
+func (i *instance) empty() bool { return len(i.queue)+len(i.running)+i.orphans == 0 }
+
+// hasFreeSlot reports whether another call may start. A call that must run
+// alone takes all slots.
+func (i *instance) hasFreeSlot() bool {
+	alone := len(i.running) == 1 && i.running[0].Exclusive
+	return !i.down && !alone && len(i.running) < i.slots
+}
+
+// canMeet reports whether a call that starts now is likely to end in time.
+func (i *instance) canMeet(now, deadline mesh.Time) bool {
+	return deadline.Sub(now) >= i.mean
+}
+
+// canAdmit reports whether an arriving call is likely to end in time, after
+// the calls that would run before it.
+func (i *instance) canAdmit(now mesh.Time, c Call) bool {
+	if len(i.queue) == 0 && i.hasFreeSlot() {
+		return i.canMeet(now, c.Deadline)
+	}
+	wait := i.mean * time.Duration(i.position(c)+1) / time.Duration(i.slots)
+	return c.Deadline.Sub(now) >= wait+i.mean+marginDeviations*i.deviation
+}
+
+// position returns the number of queued calls that run before c.
+func (i *instance) position(c Call) int {
+	n, _ := slices.BinarySearchFunc(i.queue, c, func(q *call, c Call) int {
+		if before(q.Call, c) <= 0 {
+			return -1 // equal calls keep their order of arrival
+		}
+		return 1
+	})
+	return n
+}
+
+// before orders calls by priority, highest first, then by deadline.
+func before(a, b Call) int {
+	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Deadline, b.Deadline))
+}
+
+// enqueue inserts a call. It returns false if the queue is full of calls that
+// run before it. The queue may exceed its bound by one until the caller has
+// removed the last call.
+func (i *instance) enqueue(rec *call, perSlot int) bool {
+	at := i.position(rec.Call)
+	if at == len(i.queue) && len(i.queue) >= i.slots*perSlot {
+		return false
+	}
+	i.queue = slices.Insert(i.queue, at, rec)
+	return true
+}
+
+func (i *instance) overfull(perSlot int) bool { return len(i.queue) > i.slots*perSlot }
+
+func (i *instance) dequeue(rec *call) {
+	at := slices.Index(i.queue, rec)
+	i.queue = slices.Delete(i.queue, at, at+1)
+}
+
+func (i *instance) popLast() *call {
+	rec := i.queue[len(i.queue)-1]
+	i.queue = i.queue[:len(i.queue)-1]
+	return rec
+}
+
+func (i *instance) start(now mesh.Time, rec *call) {
+	rec.state = running
+	rec.started = now
+	i.running = append(i.running, rec)
+}
+
+func (i *instance) release(rec *call) {
+	if rec.state == orphaned {
+		i.orphans--
+		return
+	}
+	at := slices.Index(i.running, rec)
+	i.running = slices.Delete(i.running, at, at+1)
+}
+
+// observe adds the duration of a finished call to the averages.
+func (i *instance) observe(d time.Duration) {
+	distance := max(d-i.mean, i.mean-d)
+	i.mean += time.Duration(float64(d-i.mean) * serviceTimeWeight)
+	i.deviation += time.Duration(float64(distance-i.deviation) * serviceTimeWeight)
+}
+
+func (i *instance) rememberLost(now mesh.Time, f mesh.Fingerprint) {
+	if len(i.lost) == maxLost {
+		i.lost = slices.Delete(i.lost, 0, 1)
+	}
+	i.lost = append(i.lost, lostCall{f, now})
+}
+
+// appendSuspects appends the calls that a crash at this time may be due to.
+func (i *instance) appendSuspects(now mesh.Time, dst []mesh.Fingerprint) []mesh.Fingerprint {
+	for _, rec := range i.running {
+		dst = append(dst, rec.Fingerprint)
+	}
+	for _, l := range i.lost {
+		if now.Sub(l.at) <= lostWindow {
+			dst = append(dst, l.fingerprint)
+		}
+	}
+	return dst
+}
+
+func (i *instance) crash() {
+	for _, rec := range i.running {
+		rec.state = orphaned
+	}
+	i.orphans += len(i.running)
+	i.running = i.running[:0]
+	i.lost = i.lost[:0]
+	i.down = true
+}
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -68,23 +68,29 @@
 	Load mesh.Load
 }
 
-// DoneResult tells how a dispatched call ended.
-type DoneResult struct {
-	// Ran is set when the instance worked on the call, so that its duration
-	// counts for the estimated service time.
-	Ran bool
-	// Crashed is set when the instance died with the call in flight. The
-	// remaining calls in flight are still reported one by one.
-	Crashed bool
-}
+// Finish tells how a dispatched call ended.
+type Finish uint8
+
+// Ends of a dispatched call.
+const (
+	// Finished means that the instance worked on the call and answered. Its
+	// duration counts for the estimated service time.
+	Finished Finish = iota + 1
+	// NotStarted means that the instance refused the call or was never given
+	// a byte of it.
+	NotStarted
+	// Lost means that the call was written and no whole answer came.
+	Lost
+)
 
 // Gate is the admission state of one host. It is not safe for concurrent use.
 type Gate struct {
 	limits    Limits
 	instances map[mesh.InstanceID]*instance
-	calls     map[mesh.CallID]*call
 	order     []*instance // sorted by ID, so that effects have a fixed order
-	free      *call
+	calls     map[mesh.CallID]*call
+	free      *call // records for reuse
+	sequence  uint64
 	draining  bool
 	reported  bool // NodeEmpty was reported
 }
