Add a queueing model that compares routing policies

Cause: the policies of routing and admission had not been measured. Change: internal/callsim models a deployment in virtual time with the reducers of routing, admission and retry, and fakes of backend servers and delays. 'make routing' compares with round robin and least loaded; 'make overload' checks goodput, recovery and retries at three times the capacity.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 COUNT ?= 240
 
-.PHONY: build test lint spec demo moves routing bench fuzz
+.PHONY: build test lint spec demo moves routing bench fuzz overload
 
 build:
 	mkdir -p bin
@@ -15,3 +15,11 @@
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+# Compares routing policies on a queueing model in virtual time.
+routing:
+	$(GO) run ./internal/tooling/routingbench -seed $(SEED)
+
+# Checks goodput, recovery and retries at three times the capacity.
+overload:
+	$(GO) run ./internal/tooling/routingbench -overload -seed $(SEED)
--- /dev/null
+++ b/internal/callsim/deployment.go
@@ -0,0 +1,124 @@
+package callsim
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/routing"
+)
+
+// Deployment is the size of one deployment of the design page.
+type Deployment struct {
+	Name     string
+	Domains  []mesh.FailureDomain
+	Services []ServiceSize
+	// Slots is the number of slots of each instance.
+	Slots uint16
+	// DomainDelay is the one-way delay between failure domains.
+	DomainDelay time.Duration
+}
+
+// ServiceSize is a service and the number of its instances.
+type ServiceSize struct {
+	Name      mesh.Service
+	Instances int
+}
+
+// Deployments are the two deployments of section 1.6 of the design page.
+var Deployments = []Deployment{
+	{
+		Name:        "fes",
+		Domains:     []mesh.FailureDomain{"ifrane", "azrou", "sefrou", "boulemane"},
+		Services:    []ServiceSize{{"roofworks", 7}, {"depot", 4}},
+		Slots:       9,
+		DomainDelay: 500 * time.Microsecond,
+	},
+	{
+		Name:        "montevideo",
+		Domains:     []mesh.FailureDomain{"centro", "pocitos", "prado"},
+		Services:    []ServiceSize{{"delivery", 10}, {"records", 3}},
+		Slots:       6,
+		DomainDelay: time.Millisecond,
+	},
+}
+
+// capacity returns the calls per second that the healthy deployment can run.
+func (d Deployment) capacity() float64 {
+	return float64(len(d.instances())*int(d.Slots)) / meanServiceTime.Seconds()
+}
+
+// instances spreads the instances of each service over the failure domains,
+// one instance per host.
+func (d Deployment) instances() []routing.Instance {
+	var all []routing.Instance
+	for _, s := range d.Services {
+		for i := range s.Instances {
+			n := len(all)
+			all = append(all, routing.Instance{
+				Host:      mesh.HostID(fmt.Sprintf("host-%02d", n)),
+				Domain:    d.Domains[n%len(d.Domains)],
+				ID:        mesh.InstanceID(fmt.Sprintf("%s-%02d", s.Name, i)),
+				Service:   s.Name,
+				Version:   "v1",
+				Slots:     d.Slots,
+				Reachable: true,
+			})
+		}
+	}
+	return all
+}
+
+// Fault is what goes wrong in a run.
+type Fault string
+
+// Faults. All but DomainLost hit the first instance of each service for the
+// whole run.
+const (
+	Healthy Fault = "healthy"
+	// SlowInstance works at a fifth of the normal speed.
+	SlowInstance Fault = "slow-instance"
+	// LyingLoad announces three times its real slots and reports no load.
+	LyingLoad Fault = "lying-load"
+	// LyingHealth announces itself ready and quickly fails each call.
+	LyingHealth Fault = "lying-health"
+	// DomainLost stops all hosts of the first failure domain at lossTime.
+	DomainLost Fault = "domain-lost"
+)
+
+// Faults lists all faults.
+var Faults = []Fault{Healthy, SlowInstance, LyingLoad, LyingHealth, DomainLost}
+
+const (
+	meanServiceTime = 10 * time.Millisecond
+	// serviceTimeSigma is the parameter of the log-normal distribution.
+	serviceTimeSigma = 0.6
+	localDelay       = 100 * time.Microsecond
+	slowdown         = 5
+	slotsClaimed     = 3 // announced slots per real slot of a lying instance
+	quickFailure     = 500 * time.Microsecond
+	// connectTimeout is the time after which a lost host is noticed.
+	connectTimeout = 50 * time.Millisecond
+	// membershipDelay is the time after which routing learns of lost hosts.
+	membershipDelay = 5 * time.Second
+	// warmUp precedes the measurement.
+	warmUp = 5 * time.Second
+	// lossTime is the time of DomainLost, during the measurement.
+	lossTime = 10 * time.Second
+)
+
+// workClass is a class of the simulated calls.
+type workClass struct {
+	name       mesh.Class
+	priority   mesh.Priority
+	share      float64 // of all calls
+	deadline   time.Duration
+	idempotent bool
+}
+
+var workClasses = []workClass{
+	{"critical", mesh.Critical, 0.2, 100 * time.Millisecond, true},
+	{"normal", mesh.Normal, 0.4, 150 * time.Millisecond, true},
+	{"booking", mesh.Normal, 0.2, 150 * time.Millisecond, false},
+	{"bulk", mesh.Bulk, 0.2, 400 * time.Millisecond, true},
+}
