Add the move driver, evidence, follower and the moves simulation

Cause: moves need a driver under a lease, evidence that compares versions in the same interval, and a follower on every node. Change: internal/moves implements them; internal/moves/movesim runs seeded moves in virtual time and internal/moves/movesbench prints the report.

--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,8 @@
 	@test -z "$$(gofmt -l $$(git ls-files '*.go'))" || { gofmt -l $$(git ls-files '*.go'); exit 1; }
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
+
+# moves runs a seeded list of moves on the reducers in virtual time and compares
+# them with a baseline policy. The last line is JSON.
+moves:
+	$(GO) run ./internal/moves/movesbench -seed $(SEED) -count $(COUNT)
--- /dev/null
+++ b/internal/moves/judge.go
@@ -0,0 +1,229 @@
+package moves
+
+import (
+	"math"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const (
+	// withdrawValue is the e-value at which the new version is withdrawn. A test
+	// of a good version exceeds it with probability at most 1/5000; with 10
+	// routes, 22 tests run in one move, which bounds its false withdrawals by
+	// 0.5%.
+	withdrawValue = 5000
+	// suspectValue is the e-value above which the share is not raised.
+	suspectValue = 100
+	// groupMinAge, groupOldCalls and groupMaxAge bound a group of calls: it ends
+	// once it is old enough and holds enough calls to the old version for the
+	// comparison, and in any case at groupMaxAge.
+	groupMinAge   = 500 * time.Millisecond
+	groupMaxAge   = time.Minute
+	groupOldCalls = 10
+)
+
+// verdict is the result of a judgement.
+type verdict struct {
+	cause Cause
+	route mesh.Route // empty when the fault shows over all routes
+	value float64    // log of the largest e-value
+}
+
+// stream is the evidence of one route and class.
+type stream struct {
+	route mesh.Route
+	class mesh.Class
+	past  history
+	own   openGroup // group of this route's tests
+	all   openGroup // this route's part of the group of the service's tests
+	fail  sequential
+	slow  sequential
+	// values of the last evaluation
+	failValue, slowValue float64
+	calls                uint64 // to either version
+	newCalls             uint64
+}
+
+// openGroup is a group of calls that has not ended.
+type openGroup struct {
+	sides  [sides]Counts
+	opened mesh.Time
+}
+
+// add adds a report to the group.
+func (g *openGroup) add(r *Report) {
+	g.sides[OldSide].add(&r.Sides[OldSide])
+	g.sides[NewSide].add(&r.Sides[NewSide])
+}
+
+// complete reports whether a group with the given calls may end.
+func complete(age time.Duration, oldCalls, newCalls uint32) bool {
+	if age < groupMinAge {
+		return false
+	}
+	if newCalls == 0 {
+		return age >= 2*groupMinAge
+	}
+	return oldCalls >= groupOldCalls || age >= groupMaxAge
+}
+
+// judge compares the versions of one move.
+type judge struct {
+	streams []stream
+	planned time.Duration // duration of the move
+	began   mesh.Time
+	opened  mesh.Time // start of the service's open group
+	fail    sequential
+	slow    sequential
+	// values of the service's tests at the last evaluation, and whether calls to
+	// the new version arrived since
+	failValue, slowValue float64
+	fresh                bool
+	worst                verdict
+	atStep               uint64 // calls to the new version since the last step
+	total                uint64 // calls to the new version
+}
+
+// newJudge returns the judge of a move from its start to its deadline.
+func newJudge(now mesh.Time, planned time.Duration) *judge {
+	return &judge{planned: max(planned, time.Second), began: now, opened: now}
+}
+
+// stream returns the evidence of a route and class and adds it if absent.
+func (j *judge) stream(now mesh.Time, route mesh.Route, class mesh.Class) *stream {
+	for i := range j.streams {
+		if s := &j.streams[i]; s.route == route && s.class == class {
+			return s
+		}
+	}
+	j.streams = append(j.streams, stream{route: route, class: class, own: openGroup{opened: now}})
+	return &j.streams[len(j.streams)-1]
+}
+
+// add counts a report and evaluates the tests that it changes.
+func (j *judge) add(now mesh.Time, r *Report) {
+	s := j.stream(now, r.Route, r.Class)
+	s.own.add(r)
+	s.all.add(r)
+	fresh := r.Sides[NewSide].calls()
+	s.newCalls += uint64(fresh)
+	s.calls += uint64(fresh + r.Sides[OldSide].calls())
+	j.fresh = j.fresh || fresh > 0
+	j.total += uint64(fresh)
+	j.atStep += uint64(fresh)
+}
+
+// weight returns the part of the planned duration since a group was opened.
+func (j *judge) weight(now, opened mesh.Time) float64 {
+	return min(float64(now.Sub(opened))/float64(j.planned), 1)
+}
+
+// evaluate updates the worst verdict and ends complete groups. With force all
+// groups end, as they must when the share changes.
+func (j *judge) evaluate(now mesh.Time, force bool) {
+	j.worst = verdict{value: math.Inf(-1)}
+	j.evaluateService(now, force)
+	for i := range j.streams {
+		j.evaluateRoute(now, &j.streams[i], force)
+	}
+}
+
+// evaluateRoute evaluates the tests of one route.
+func (j *judge) evaluateRoute(now mesh.Time, s *stream, force bool) {
+	old, new := &s.own.sides[OldSide], &s.own.sides[NewSide]
+	ends := force || complete(now.Sub(s.own.opened), old.calls(), new.calls())
+	if !new.empty() || ends {
+		weight := j.weight(now, s.own.opened)
+		fail := s.past.failureGroup(old, new, old.Repeats)
+		slow := s.past.latencyGroup(old, new)
+		s.failValue = s.fail.value(&fail, weight)
+		s.slowValue = s.slow.value(&slow, weight)
+		if ends {
+			s.fail.close(&fail, weight)
+			s.slow.close(&slow, weight)
+			s.past.add(old)
+			s.own = openGroup{opened: now}
+		}
+	}
+	j.consider(verdict{cause: CauseFailures, route: s.route, value: s.failValue})
+	j.consider(verdict{cause: CauseSlow, route: s.route, value: s.slowValue})
+}
+
+// evaluateService evaluates the tests over all routes.
+func (j *judge) evaluateService(now mesh.Time, force bool) {
+	var oldCalls, newCalls uint32
+	for i := range j.streams {
+		oldCalls += j.streams[i].all.sides[OldSide].calls()
+		newCalls += j.streams[i].all.sides[NewSide].calls()
+	}
+	ends := force || complete(now.Sub(j.opened), oldCalls, newCalls)
+	if j.fresh || ends {
+		fail, slow := j.serviceGroups()
+		weight := j.weight(now, j.opened)
+		j.failValue, j.slowValue = j.fail.value(&fail, weight), j.slow.value(&slow, weight)
+		j.fresh = false
+		if ends {
+			j.fail.close(&fail, weight)
+			j.slow.close(&slow, weight)
+			j.reopen(now)
+		}
+	}
+	j.consider(verdict{cause: CauseFailures, value: j.failValue})
+	j.consider(verdict{cause: CauseSlow, value: j.slowValue})
+}
+
+// serviceGroups returns the open groups over all routes. Likelihoods are taken
+// per route and then multiplied, because the routes' shares differ.
+func (j *judge) serviceGroups() (fail, slow group) {
+	for i := range j.streams {
+		s := &j.streams[i]
+		old, new := &s.all.sides[OldSide], &s.all.sides[NewSide]
+		f, l := s.past.failureGroup(old, new, old.Repeats), s.past.latencyGroup(old, new)
+		fail.add(&f)
+		slow.add(&l)
+	}
+	return fail, slow
+}
+
+// reopen begins a new group of the service's tests.
+func (j *judge) reopen(now mesh.Time) {
+	j.opened = now
+	for i := range j.streams {
+		j.streams[i].all = openGroup{}
+	}
+}
+
+// consider keeps the verdict with the largest value.
+func (j *judge) consider(v verdict) {
+	if v.value > j.worst.value {
+		j.worst = v
+	}
+}
+
+// faulty reports whether the new version must be withdrawn.
+func (j *judge) faulty() bool { return j.worst.value >= math.Log(withdrawValue) }
+
+// suspect reports whether the share must not be raised.
+func (j *judge) suspect() bool { return j.worst.value >= math.Log(suspectValue) }
+
+// step ends all groups, since calls before and after a change of the share must
+// not be compared with each other.
+func (j *judge) step(now mesh.Time) {
+	j.evaluate(now, true)
+	j.atStep = 0
+}
+
+// rate returns the service's calls per second since the judge began.
+func (j *judge) rate(now mesh.Time) float64 {
+	var calls uint64
+	for i := range j.streams {
+		calls += j.streams[i].calls
+	}
+	return perSecond(calls, now.Sub(j.began))
+}
+
+// perSecond returns the rate of calls over a time of at least one second.
+func perSecond(calls uint64, over time.Duration) float64 {
+	return float64(calls) / max(over.Seconds(), 1)
+}
--- /dev/null
+++ b/internal/moves/sequential.go
@@ -0,0 +1,117 @@
+package moves
+
+import "math"
+
+// levels is the number of disturbance levels that a test distinguishes. Level
+// 0 is the normal state; the others stand for a disturbance that affects both
+// versions alike, such as an outage or a general slowdown.
+const levels = 8
+
+// disturbancePrior is the probability that a group of calls falls into a
+// disturbance of both versions. It bounds the evidence from a group without
+// calls to the old version by its reciprocal.
+const disturbancePrior = 1e-3
+
+// startWeight is the part of the prior on a fault that exists when the first
+// call reaches the new version. The rest is spread over the move's duration.
+const startWeight = 0.5
+
+// group holds the log-likelihoods of one group of calls under each level. Both
+// versions' calls of a group were made over the same interval. For the new
+// version, entry [a][l] is the likelihood at level l with the additional fault
+// of alternative a; entry [0][l] is without a fault.
+type group struct {
+	old [levels]float64
+	new [levels][levels]float64
+}
+
+// add multiplies the likelihoods of an independent group of another route.
+func (g *group) add(o *group) {
+	for l := range g.old {
+		g.old[l] += o.old[l]
+	}
+	for a := range g.new {
+		for l := range g.new[a] {
+			g.new[a][l] += o.new[a][l]
+		}
+	}
+}
+
+// ratios returns for each alternative the log of its likelihood ratio against
+// "both versions behave alike". A disturbance is possible on both sides of the
+// ratio, so calls that fail in both versions alike give a ratio near one.
+func (g *group) ratios() (out [levels]float64) {
+	null := g.mixture(0)
+	for a := 1; a < levels; a++ {
+		out[a] = g.mixture(a) - null
+	}
+	return out
+}
+
+// mixture returns the log-likelihood of the group with alternative a, averaged
+// over the levels.
+func (g *group) mixture(a int) float64 {
+	var terms [levels]float64
+	terms[0] = math.Log1p(-disturbancePrior) + g.old[0] + g.new[a][0]
+	prior := math.Log(disturbancePrior / (levels - 1))
+	for l := 1; l < levels; l++ {
+		terms[l] = prior + g.old[l] + g.new[a][l]
+	}
+	return logSum(&terms)
+}
+
+// sequential is a sequential test that may be read after every group. Its
+// value is an e-value: under "both versions behave alike" its expectation stays
+// at most one, so by Ville's inequality it ever exceeds x with probability at
+// most 1/x.
+type sequential struct {
+	closed  [levels]float64 // log of the e-value of each alternative
+	started bool
+}
+
+// value returns the log of the e-value if the open group ended now. The weight
+// is the part of the move's planned duration that the group covers.
+func (s *sequential) value(open *group, weight float64) float64 {
+	e := s.extended(open, weight)
+	e[0] = math.Inf(-1)
+	return logSum(&e) - math.Log(levels-1)
+}
+
+// close ends the open group.
+func (s *sequential) close(open *group, weight float64) {
+	s.closed = s.extended(open, weight)
+	s.started = true
+}
+
+// extended returns the e-values after a group. Each group adds its weight to
+// the bet that the fault began with it, so a fault that begins late is not
+// outweighed by the good calls before it.
+func (s *sequential) extended(open *group, weight float64) [levels]float64 {
+	ratio := open.ratios()
+	bet := (1 - startWeight) * weight
+	var out [levels]float64
+	for a := 1; a < levels; a++ {
+		before := startWeight
+		if s.started {
+			before = math.Exp(s.closed[a])
+		}
+		out[a] = math.Log(before+bet) + ratio[a]
+	}
+	return out
+}
+
+// logSum returns the log of the sum of the exponentials.
+func logSum(x *[levels]float64) float64 {
+	top := math.Inf(-1)
+	for _, v := range x {
+		top = max(top, v)
+	}
+	if math.IsInf(top, -1) {
+		return top
+	}
+	sum := 0.0
+	for _, v := range x {
+		sum += math.Exp(v - top)
+	}
+	return top + math.Log(sum)
+}
--- a/internal/moves/types.go
+++ b/internal/moves/types.go
@@ -88,8 +88,13 @@
 	Deadline mesh.Time           `json:"deadline"`
 	State    State               `json:"state"`
 	// Step numbers the writes of the row, starting at 1.
-	Step  uint64 `json:"step"`
-	Share Share  `json:"share"`
+	Step uint64 `json:"step"`
+	// Level is the position in the schedule and Since the time it was entered.
+	Level uint8     `json:"level"`
+	Since mesh.Time `json:"since"`
+	// Balanced is the time at which the shares were last adapted to the rates.
+	Balanced mesh.Time `json:"balanced"`
+	Share    Share     `json:"share"`
 	// Routes holds the exceptions from Share, ordered by route.
 	Routes []RouteShare `json:"routes,omitempty"`
 	Cause  Cause        `json:"cause,omitempty"`
@@ -97,10 +102,22 @@
 	CauseRoute mesh.Route `json:"cause_route,omitempty"`
 	// Early is set when the evidence cannot be collected before the deadline.
 	Early Cause `json:"early,omitempty"`
+	// EarlyRoute is the route that lacks evidence, empty for the service.
+	EarlyRoute mesh.Route `json:"early_route,omitempty"`
 	// Fence is the fencing number of the lease under which the row was written.
 	Fence uint64 `json:"fence"`
-	// KeepOld is the time until which the old version must stay ready.
-	KeepOld mesh.Time `json:"keep_old,omitempty"`
+	// KeepOld is how long the old version stays ready after completion.
+	KeepOld time.Duration `json:"keep_old"`
+}
+
+// ShareOf returns the share of the new version on a route.
+func (s *MoveState) ShareOf(route mesh.Route) Share {
+	for i := range s.Routes {
+		if s.Routes[i].Route == route {
+			return s.Routes[i].Share
+		}
+	}
+	return s.Share
 }
 
 // CallResult is the end of one call that was sent to a backend server. Calls
@@ -178,8 +195,12 @@
 const (
 	// EventStep reports that a newer move state is in force on this node.
 	EventStep EventKind = iota + 1
-	// EventStopped reports that this node stopped using the new version.
+	// EventStopped reports that the new version's fault has shown and this node
+	// no longer uses it.
 	EventStopped
+	// EventPaused reports that this node alone avoids the new version until the
+	// next step.
+	EventPaused
 	// EventLeaseTaken reports that this node became the driver of the move.
 	EventLeaseTaken
 	// EventLeaseLost reports that another node is the driver now.
