Compare versions with disturbances of a part of the calls

Change: levels with a part of the calls, less weight for groups in which the old version is disturbed, one evaluation per flush, cached latency tables.

--- a/internal/moves/flow.go
+++ b/internal/moves/flow.go
@@ -44,8 +44,8 @@
 	r.flow.repeated = 0
 }
 
-// flush sends evidence up the tree or, on a top node, judges it and exchanges
-// it with the other domains.
+// flush sends evidence up the tree or, on a top node, judges it together with
+// that of the other domains and exchanges it with them.
 func (r *Reducer) flush(now mesh.Time, out *Effects) {
 	interval := flushInterval
 	for _, f := range r.moves {
@@ -54,10 +54,10 @@
 		}
 	}
 	if due(&r.flow.flushed, now, interval) {
+		r.sendEvidence(now, out)
 		for _, f := range r.moves {
 			f.urgent = false
 		}
-		r.sendEvidence(now, out)
 	}
 	if due(&r.flow.repeated, now, repeatInterval) {
 		r.repeat(now, out)
@@ -69,7 +69,8 @@
 func (r *Reducer) sendEvidence(now mesh.Time, out *Effects) {
 	reports := r.pending.take(nil)
 	if r.top() {
-		r.judge(now, reports, out)
+		r.collect(now, reports)
+		r.judge(now, out)
 	}
 	if len(reports) == 0 {
 		return
@@ -91,15 +92,20 @@
 	return Message{Incarnation: r.cfg.Incarnation, Domain: r.cfg.Domain}
 }
 
-// judge adds evidence to the moves' judges and stops faulty versions.
-func (r *Reducer) judge(now mesh.Time, reports []Report, out *Effects) {
+// collect adds evidence to the moves' judges.
+func (r *Reducer) collect(now mesh.Time, reports []Report) {
 	for i := range reports {
 		f := r.move(reports[i].Move)
 		if f == nil || f.state.State != Running {
 			continue
 		}
 		f.judgeAt(now).add(now, &reports[i])
+		f.urgent = f.urgent || wrong(&reports[i].Sides[NewSide])
 	}
+}
+
+// judge evaluates the evidence and stops faulty versions.
+func (r *Reducer) judge(now mesh.Time, out *Effects) {
 	for _, f := range r.moves {
 		if f.state.State != Running || f.stop.Cause != CauseNone {
 			continue
@@ -188,7 +194,7 @@
 		}
 	}
 	if len(m.Evidence) > 0 && r.newer(from, m) {
-		r.receiveEvidence(now, from, m, out)
+		r.receiveEvidence(now, from, m)
 	}
 }
 
@@ -204,10 +210,10 @@
 
 // receiveEvidence adds a child's evidence to the node's own, or judges that of
 // another domain. Evidence on unknown or ended moves is dropped.
-func (r *Reducer) receiveEvidence(now mesh.Time, from mesh.HostID, m *Message, out *Effects) {
+func (r *Reducer) receiveEvidence(now mesh.Time, from mesh.HostID, m *Message) {
 	if m.Domain != r.cfg.Domain {
 		if r.top() {
-			r.judge(now, m.Evidence, out)
+			r.collect(now, m.Evidence)
 		}
 		return
 	}
--- a/internal/moves/likelihood.go
+++ b/internal/moves/likelihood.go
@@ -20,29 +20,49 @@
 	crashAllowance = 1
 )
 
-// failureLevels are the failure shares of the levels and, at the same index, of
-// the alternatives. Entry 0 is replaced by the share of the old version.
-var failureLevels = [levels]float64{0, 0.03, 0.06, 0.12, 0.25, 0.5, 0.8, 0.98}
+// disturbedFailures are the failure shares of the levels and faultFailures
+// those of the alternatives. The share of the old version is their lower bound.
+var (
+	disturbedFailures = [levels]float64{0, 0.02, 0.04, 0.08, 0.15, 0.25, 0.4, 0.6, 0.8, 0.98}
+	faultFailures     = [alternatives]float64{0, 0.03, 0.06, 0.12, 0.25, 0.5, 0.8, 0.98}
+)
 
-// disturbedShift is the general slowdown of each level in histogram buckets;
-// two buckets are a factor of two.
-var disturbedShift = [levels]int{0, 1, 2, 3, 4, 6, 8, 12}
+// slowdown is a slowdown of a part of the calls, in histogram buckets; two
+// buckets are a factor of two.
+type slowdown struct {
+	shift int
+	part  float64
+}
 
-// faultShift is the slowdown of the new version under each alternative. The
-// smallest is a factor of two, so that a version that is up to about 1.4 times
-// slower is kept.
-var faultShift = [levels]int{0, 2, 3, 4, 6, 9, 8, 8}
+// disturbedSlowdowns are the slowdowns of the levels. Some affect a part of the
+// calls only, since a disturbance can begin or end within a group.
+var disturbedSlowdowns = [levels]slowdown{
+	{0, 1}, {1, 1}, {2, 1}, {3, 1}, {4, 1}, {5, 1}, {7, 1}, {3, 0.5}, {6, 0.5}, {6, 0.15},
+}
 
-// faultPart is the part of the calls that an alternative slows down.
-var faultPart = [levels]float64{1, 1, 1, 1, 1, 1, 0.3, 0.1}
+// faultSlowdowns are the slowdowns of the alternatives. The smallest is a factor
+// of two, so that a version that is up to about 1.4 times slower is kept.
+var faultSlowdowns = [alternatives]slowdown{
+	{0, 1}, {2, 1}, {3, 1}, {4, 1}, {6, 1}, {9, 1}, {8, 0.3}, {8, 0.1},
+}
 
 // history is the long-term behaviour of the old version on one route.
 type history struct {
 	calls, failures float64
 	latencies       float64
 	latency         [Buckets]float64
+	table           *latencyTable
+	tabled          float64 // latencies when the table was computed
 }
 
+// latencyTable holds the log-probability of each bucket by alternative and
+// level.
+type latencyTable [alternatives][levels][Buckets]float64
+
+// tableGrowth is the growth of the history after which the table is computed
+// again.
+const tableGrowth = 1.1
+
 // add adds the counts of the old version in a closed group.
 func (h *history) add(c *Counts) {
 	if h.calls > historyLimit {
@@ -69,7 +89,7 @@
 	return min(max(share, toleratedFailures), 0.5)
 }
 
-// failures returns the group of a route's failed and lost calls.
+// failureGroup returns the group of a route's failed and lost calls.
 func (h *history) failureGroup(old, new *Counts, repeats uint32) group {
 	var g group
 	base := h.failureShare()
@@ -78,10 +98,10 @@
 	newBad := new.Failed + new.Lost + crashes
 	oldGood, newGood := old.Answered-old.Failed, new.Answered-new.Failed
 	for l := range levels {
-		rate := max(failureLevels[l], base)
+		rate := max(disturbedFailures[l], base)
 		g.old[l] = binomial(oldBad, oldGood, rate)
-		for a := range levels {
-			g.new[a][l] = binomial(newBad, newGood, max(rate, failureLevels[a]))
+		for a := range alternatives {
+			g.new[a][l] = binomial(newBad, newGood, max(rate, faultFailures[a]))
 		}
 	}
 	return g
@@ -99,21 +119,53 @@
 	if h.latencies < latencyHistory {
 		return g
 	}
-	density := h.density()
+	t := h.latencyTable()
 	for l := range levels {
-		shift := disturbedShift[l]
-		g.old[l] = shifted(&density, &old.Latency, shift, 0, 1)
-		for a := range levels {
-			g.new[a][l] = shifted(&density, &new.Latency, shift, faultShift[a], faultPart[a])
+		g.old[l] = t.likelihood(0, l, &old.Latency)
+		for a := range alternatives {
+			g.new[a][l] = t.likelihood(a, l, &new.Latency)
 		}
 	}
 	return g
 }
 
-// density returns the smoothed latency distribution of the old version. A part
-// is spread evenly, so that single outliers carry little weight.
+// likelihood returns the log-likelihood of latencies.
+func (t *latencyTable) likelihood(a, l int, counts *Histogram) float64 {
+	sum := 0.0
+	for i, n := range counts {
+		if n > 0 {
+			sum += float64(n) * t[a][l][i]
+		}
+	}
+	return sum
+}
+
+// latencyTable returns the table of the present history.
+func (h *history) latencyTable() *latencyTable {
+	if h.table != nil && h.latencies < h.tabled*tableGrowth && h.latencies > h.tabled/tableGrowth {
+		return h.table
+	}
+	if h.table == nil {
+		h.table = new(latencyTable)
+	}
+	h.tabled = h.latencies
+	d := h.density()
+	for a := range alternatives {
+		for l := range levels {
+			for i := range Buckets {
+				h.table[a][l][i] = math.Log(probability(&d, i, disturbedSlowdowns[l], faultSlowdowns[a]))
+			}
+		}
+	}
+	return h.table
+}
+
+// evenPart is the part of the latency distribution that is spread evenly over
+// all buckets. It limits the weight of a single outlier.
+const evenPart = 0.01
+
+// density returns the smoothed latency distribution of the old version.
 func (h *history) density() [Buckets]float64 {
-	const even = 0.03
 	var d [Buckets]float64
 	for i := range d {
 		near := 2 * h.latency[i]
@@ -123,34 +175,24 @@
 		if i+1 < Buckets {
 			near += h.latency[i+1] / 4
 		}
-		d[i] = (1-even)*near/(2.5*h.latencies) + even/Buckets
+		d[i] = (1-evenPart)*near/(2.5*h.latencies) + evenPart/Buckets
 	}
 	return d
 }
 
-// shifted returns the log-likelihood of latencies when all calls are slowed by
-// a common shift and a part of them by an additional one, in buckets.
-func shifted(d *[Buckets]float64, counts *Histogram, common, fault int, part float64) float64 {
-	sum := 0.0
-	for i, n := range counts {
-		if n == 0 {
-			continue
-		}
-		p := part * at(d, i-common-fault)
-		if part < 1 {
-			p += (1 - part) * at(d, i-common)
-		}
-		sum += float64(n) * math.Log(p)
-	}
-	return sum
+// probability returns the probability of bucket i under a disturbance and a
+// fault that occur independently of each other.
+func probability(d *[Buckets]float64, i int, c, f slowdown) float64 {
+	both := f.part*at(d, i-c.shift-f.shift) + (1-f.part)*at(d, i-c.shift)
+	alone := f.part*at(d, i-f.shift) + (1-f.part)*at(d, i)
+	return c.part*both + (1-c.part)*alone
 }
 
 // at returns the density of bucket i. Below the first bucket it is the part
 // that is spread evenly; the last bucket also stands for all slower calls.
 func at(d *[Buckets]float64, i int) float64 {
-	const outside = 0.03 / Buckets
 	if i < 0 {
-		return outside
+		return evenPart / Buckets
 	}
 	return d[i]
 }
--- a/internal/moves/movesim/run.go
+++ b/internal/moves/movesim/run.go
@@ -104,7 +104,7 @@
 	r := &run{
 		s: s, p: p, rng: rng, domains: len(s.Deployment.Domains), nodes: hosts(&s.Deployment),
 		backends: backends{s: s, rng: rng, began: p.now(), restarted: p.now()},
-		oracle:   oracle{s: s}, result: Result{Scenario: *s},
+		oracle:   newOracle(s), result: Result{Scenario: *s},
 	}
 	began, ended := p.now(), mesh.Time(0)
 	for p.now() < began.Add(s.Duration+overtime) && (ended == 0 || p.now() < ended.Add(settleTime)) {
--- a/internal/moves/movesim/scenario.go
+++ b/internal/moves/movesim/scenario.go
@@ -136,6 +136,16 @@
 // AtOnce reports whether the fault fails calls from the first one.
 func (s *Scenario) AtOnce() bool { return s.Fault == FaultFail }
 
+// startUnknown reports whether the fault begins after the first call to the new
+// version.
+func (s *Scenario) startUnknown() bool {
+	switch s.Fault {
+	case FaultFailLater, FaultSlowLater, FaultFailLoad, FaultSlowLoad:
+		return true
+	}
+	return false
+}
+
 // String describes the scenario in one line.
 func (s *Scenario) String() string {
 	return fmt.Sprintf("seed %d %s/%s rate %.2f/s duration %s fault %s size %.2f route %d start %s threshold %.2f, trouble %s at %s for %s size %.2f",
--- a/internal/moves/reducer.go
+++ b/internal/moves/reducer.go
@@ -105,12 +105,13 @@
 		r.moves = slices.Insert(r.moves, i, &follow{state: MoveState{ID: s.ID}})
 	}
 	f := r.moves[i]
+	level := f.state.Level
 	if !f.apply(s) {
 		return
 	}
 	r.govern(f)
 	if f.judge != nil {
-		f.judge.step(now)
+		f.judge.step(now, s.Level != level)
 	}
 	if s.State.Terminal() {
 		r.pending.drop(s.ID)
--- a/internal/moves/sequential.go
+++ b/internal/moves/sequential.go
@@ -5,16 +5,33 @@
 // levels is the number of disturbance levels that a test distinguishes. Level
 // 0 is the normal state; the others stand for a disturbance that affects both
 // versions alike, such as an outage or a general slowdown.
-const levels = 8
+const levels = 10
 
-// disturbancePrior is the probability that a group of calls falls into a
-// disturbance of both versions. It bounds the evidence from a group without
-// calls to the old version by its reciprocal.
-const disturbancePrior = 1e-3
+// alternatives is the number of faults that a test distinguishes. Alternative 0
+// is a version without a fault.
+const alternatives = 8
 
-// startWeight is the part of the prior on a fault that exists when the first
-// call reaches the new version. The rest is spread over the move's duration.
-const startWeight = 0.5
+const (
+	// disturbancePrior is the probability that a group of calls falls into a
+	// disturbance of both versions. It bounds the evidence from a group without
+	// calls to the old version.
+	disturbancePrior = 0.01
+	// disturbedWeight reduces the evidence for a fault from a group in which the
+	// old version is itself disturbed, since the levels describe a disturbance
+	// only roughly.
+	disturbedWeight = 0.4
+)
+
+// The prior on the start of a fault: startWeight on the first call to the new
+// version, stepWeight on each entry of one of maxSteps levels, because a fault
+// under load begins with a higher share, and timeWeight spread over the move's
+// planned duration.
+const (
+	startWeight = 0.4
+	stepWeight  = 0.05
+	maxSteps    = 6
+	timeWeight  = 1 - startWeight - maxSteps*stepWeight
+)
 
 // group holds the log-likelihoods of one group of calls under each level. Both
 // versions' calls of a group were made over the same interval. For the new
@@ -22,7 +39,7 @@
 // of alternative a; entry [0][l] is without a fault.
 type group struct {
 	old [levels]float64
-	new [levels][levels]float64
+	new [alternatives][levels]float64
 }
 
 // add multiplies the likelihoods of an independent group of another route.
@@ -40,14 +57,30 @@
 // ratios returns for each alternative the log of its likelihood ratio against
 // "both versions behave alike". A disturbance is possible on both sides of the
 // ratio, so calls that fail in both versions alike give a ratio near one.
-func (g *group) ratios() (out [levels]float64) {
+func (g *group) ratios() (out [alternatives]float64) {
 	null := g.mixture(0)
-	for a := 1; a < levels; a++ {
+	disturbed := g.disturbed()
+	for a := 1; a < alternatives; a++ {
 		out[a] = g.mixture(a) - null
+		if disturbed && out[a] > 0 {
+			out[a] *= disturbedWeight
+		}
 	}
 	return out
 }
 
+// disturbed reports whether the old version's calls alone make a disturbance
+// more probable than not.
+func (g *group) disturbed() bool {
+	prior := math.Log(disturbancePrior / (levels - 1))
+	for l := 1; l < levels; l++ {
+		if prior+g.old[l] > g.old[0] {
+			return true
+		}
+	}
+	return false
+}
+
 // mixture returns the log-likelihood of the group with alternative a, averaged
 // over the levels.
 func (g *group) mixture(a int) float64 {
@@ -57,7 +90,7 @@
 	for l := 1; l < levels; l++ {
 		terms[l] = prior + g.old[l] + g.new[a][l]
 	}
-	return logSum(&terms)
+	return logSum(terms[:])
 }
 
 // sequential is a sequential test that may be read after every group. Its
@@ -65,32 +98,29 @@
 // at most one, so by Ville's inequality it ever exceeds x with probability at
 // most 1/x.
 type sequential struct {
-	closed  [levels]float64 // log of the e-value of each alternative
+	closed  [alternatives]float64 // log of the e-value of each alternative
 	started bool
 }
 
-// value returns the log of the e-value if the open group ended now. The weight
-// is the part of the move's planned duration that the group covers.
-func (s *sequential) value(open *group, weight float64) float64 {
-	e := s.extended(open, weight)
-	e[0] = math.Inf(-1)
-	return logSum(&e) - math.Log(levels-1)
+// value returns the log of the e-value if the open group ended now. The bet is
+// the prior on a fault that began with the group.
+func (s *sequential) value(open *group, bet float64) float64 {
+	e := s.extended(open, bet)
+	return logSum(e[1:]) - math.Log(alternatives-1)
 }
 
 // close ends the open group.
-func (s *sequential) close(open *group, weight float64) {
-	s.closed = s.extended(open, weight)
+func (s *sequential) close(open *group, bet float64) {
+	s.closed = s.extended(open, bet)
 	s.started = true
 }
 
-// extended returns the e-values after a group. Each group adds its weight to
-// the bet that the fault began with it, so a fault that begins late is not
-// outweighed by the good calls before it.
-func (s *sequential) extended(open *group, weight float64) [levels]float64 {
+// extended returns the e-values after a group. Each group adds its bet, so a
+// fault that begins late is not outweighed by the good calls before it.
+func (s *sequential) extended(open *group, bet float64) [alternatives]float64 {
 	ratio := open.ratios()
-	bet := (1 - startWeight) * weight
-	var out [levels]float64
-	for a := 1; a < levels; a++ {
+	var out [alternatives]float64
+	for a := 1; a < alternatives; a++ {
 		before := startWeight
 		if s.started {
 			before = math.Exp(s.closed[a])
@@ -101,7 +131,7 @@
 }
 
 // logSum returns the log of the sum of the exponentials.
-func logSum(x *[levels]float64) float64 {
+func logSum(x []float64) float64 {
 	top := math.Inf(-1)
 	for _, v := range x {
 		top = max(top, v)
