--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,8 @@
 # Checks goodput, recovery and retries at three times the capacity.
 overload:
 	$(GO) run ./internal/tooling/routingbench -overload -seed $(SEED)
+
+# moves runs a seeded list of moves on the reducers in virtual time and compares
+# them with a baseline policy. The last line is JSON.
+moves:
+	$(GO) run ./internal/moves/movesbench -seed $(SEED) -count $(COUNT)
