Add connection pools that probe and replace silent connections

fasthttp's HostClient retries by itself, hides whether a request was written and never checks idle connections. connpool keeps fasthttp's codec and owns the connections: one send per call, idle probes, a bound from the call estimate, pre-opening within a limit.

--- /dev/null
+++ b/internal/connpool/options.go
@@ -0,0 +1,55 @@
+package connpool
+
+import (
+	"sync/atomic"
+	"time"
+)
+
+// Options configure a pool.
+type Options struct {
+	// MaxConns limits the connections of one pool, in use, idle or being opened.
+	MaxConns int
+	// WarmConns is the number of connections kept open ahead of calls.
+	WarmConns int
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// ProbePath is the path of the probe. Any whole answer is a success.
+	ProbePath string
+	// ProbeInterval is the idle time after which a connection is probed.
+	ProbeInterval time.Duration
+	// ProbeTimeout bounds the answer to a probe.
+	ProbeTimeout time.Duration
+	// SilenceFloor is the least time that a call may take before its
+	// connection is taken for silent, whatever the estimate says.
+	SilenceFloor time.Duration
+	// IdleTimeout is the time after which a pool without calls is closed.
+	IdleTimeout time.Duration
+	// MaxAnswerBytes limits the body of an answer.
+	MaxAnswerBytes int
+}
+
+// DefaultOptions returns options for connections between hosts of one
+// deployment.
+func DefaultOptions() Options {
+	return Options{
+		MaxConns:       110,
+		WarmConns:      2,
+		DialTimeout:    500 * time.Millisecond,
+		ProbePath:      "/probe",
+		ProbeInterval:  2 * time.Second,
+		ProbeTimeout:   500 * time.Millisecond,
+		SilenceFloor:   500 * time.Millisecond,
+		IdleTimeout:    time.Minute,
+		MaxAnswerBytes: 8 << 20,
+	}
+}
+
+// Counters count the events of the pools of a Set.
+type Counters struct {
+	Opened       atomic.Int64 // connections opened
+	OpenFailed   atomic.Int64 // connections that could not be opened
+	Probes       atomic.Int64 // probes sent
+	ProbesFailed atomic.Int64 // probes without an answer in time
+	Silent       atomic.Int64 // calls that outlived their estimate or deadline
+	Stale        atomic.Int64 // idle connections found closed or with stray bytes
+}
--- /dev/null
+++ b/internal/connpool/pool_test.go
@@ -0,0 +1,231 @@
+package connpool
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testTimeout = 10 * time.Second
+
+func testOptions() Options {
+	o := DefaultOptions()
+	o.MaxConns, o.WarmConns = 4, 0
+	o.ProbeInterval, o.ProbeTimeout = 20*time.Millisecond, 100*time.Millisecond
+	return o
+}
+
+// server answers each connection with the given handler until it returns.
+func server(t *testing.T, handle func(net.Conn, *bufio.Reader)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			wg.Go(func() { defer c.Close(); handle(c, bufio.NewReader(c)) })
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		for _, c := range conns {
+			c.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
+	return l.Addr().String()
+}
+
+// echo answers every request with its path.
+func echo(c net.Conn, r *bufio.Reader) {
+	var req fasthttp.Request
+	for req.Read(r) == nil {
+		path := string(req.URI().Path())
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
+	}
+}
+
+func newSet(t *testing.T, opts Options) *Set {
+	s := NewSet(opts)
+	t.Cleanup(s.Close)
+	return s
+}
+
+func call(p *Pool, path string, timeout time.Duration) (string, error) {
+	req, resp := &fasthttp.Request{}, &fasthttp.Response{}
+	req.Header.SetHost("test")
+	req.Header.SetRequestURI(path)
+	err := p.Do(req, resp, time.Now().Add(timeout))
+	return string(resp.Body()), err
+}
+
+// Guards against a node that waits for the kernel's timeout when established
+// connections go silent while new ones work.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	is := is.New(t)
+	forwarder := newForwarder(t, server(t, echo))
+	opts := testOptions()
+	opts.SilenceFloor = 150 * time.Millisecond
+	pool := newSet(t, opts).Get(forwarder.addr)
+	for range 20 {
+		body, err := call(pool, "/before", testTimeout)
+		is.NoErr(err)
+		is.Equal(body, "/before")
+	}
+	forwarder.silence()
+	start := time.Now()
+	var err error
+	for attempts := 0; attempts < 3; attempts++ {
+		var body string
+		if body, err = call(pool, "/after", testTimeout); err == nil {
+			is.Equal(body, "/after")
+			break
+		}
+	}
+	is.NoErr(err)
+	is.True(time.Since(start) < time.Second) // far below the deadline of the call
+}
+
+// Guards against silent idle connections that only the next call would find.
+func TestProbesReplaceSilentIdleConnections(t *testing.T) {
+	is := is.New(t)
+	forwarder := newForwarder(t, server(t, echo))
+	opts := testOptions()
+	opts.WarmConns = 2
+	set := newSet(t, opts)
+	set.Warm(forwarder.addr)
+	forwarder.waitOpened(t, 2)
+	forwarder.silence()
+	forwarder.waitOpened(t, 4)
+	body, err := call(set.Get(forwarder.addr), "/x", testTimeout)
+	is.NoErr(err)
+	is.Equal(body, "/x")
+	is.True(set.Counters().ProbesFailed.Load() >= 2)
+}
+
+// Guards against reporting "not run" for a request that a backend server read,
+// and against "may have run" for one that no backend server can have seen.
+func TestLostAndNotSent(t *testing.T) {
+	is := is.New(t)
+	set := newSet(t, testOptions())
+	cut := server(t, func(c net.Conn, r *bufio.Reader) { _ = new(fasthttp.Request).Read(r) })
+	_, err := call(set.Get(cut), "/", testTimeout)
+	is.True(err != nil && !IsNotSent(err))
+
+	half := server(t, func(c net.Conn, r *bufio.Reader) {
+		_ = new(fasthttp.Request).Read(r)
+		fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+	})
+	_, err = call(set.Get(half), "/", testTimeout)
+	is.True(err != nil && !IsNotSent(err))
+
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(l.Close())
+	_, err = call(set.Get(l.Addr().String()), "/", testTimeout)
+	is.True(IsNotSent(err))
+}
+
+// Guards against a request that is written to a connection which the server
+// has closed meanwhile, and against a second send of a request that was read.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{}, 8)
+	addr := server(t, func(c net.Conn, r *bufio.Reader) {
+		var req fasthttp.Request
+		if req.Read(r) == nil {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+		c.Close()
+		closed <- struct{}{}
+	})
+	pool := newSet(t, testOptions()).Get(addr)
+	for range 3 {
+		_, err := call(pool, "/", testTimeout)
+		is.NoErr(err)
+		<-closed
+	}
+}
+
+// Guards against a late or surplus answer that reaches the next caller.
+func TestStrayAnswerIsDropped(t *testing.T) {
+	is := is.New(t)
+	sentStray := make(chan struct{}, 8)
+	addr := server(t, func(c net.Conn, r *bufio.Reader) {
+		var req fasthttp.Request
+		for req.Read(r) == nil {
+			path := string(req.URI().Path())
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(path), path)
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray")
+			sentStray <- struct{}{}
+		}
+	})
+	pool := newSet(t, testOptions()).Get(addr)
+	for i := range 5 {
+		path := fmt.Sprintf("/%d", i)
+		body, err := call(pool, path, testTimeout)
+		is.NoErr(err)
+		is.Equal(body, path)
+		<-sentStray
+	}
+}
+
+// Guards against more connections than a backend server is configured for, and
+// against callers that wait for ever at the limit.
+func TestConnectionLimit(t *testing.T) {
+	is := is.New(t)
+	arrived, proceed := make(chan struct{}, 16), make(chan struct{})
+	addr := server(t, func(c net.Conn, r *bufio.Reader) {
+		var req fasthttp.Request
+		for req.Read(r) == nil {
+			arrived <- struct{}{}
+			<-proceed
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	opts := testOptions()
+	pool := newSet(t, opts).Get(addr)
+	release := sync.OnceFunc(func() { close(proceed) })
+	t.Cleanup(release)
+	errs := make(chan error, 16)
+	for range opts.MaxConns {
+		go func() { _, err := call(pool, "/", testTimeout); errs <- err }()
+	}
+	for range opts.MaxConns {
+		<-arrived
+	}
+	_, err := call(pool, "/", 20*time.Millisecond)
+	is.True(IsNotSent(err))
+	step, _ := errorx.ExtractProperty(err, PropertyStep)
+	is.Equal(step, StepAcquire)
+	is.Equal(pool.Open(), opts.MaxConns)
+	go func() { _, err := call(pool, "/", testTimeout); errs <- err }()
+	release()
+	for range opts.MaxConns + 1 {
+		is.NoErr(<-errs)
+	}
+	is.True(pool.Open() <= opts.MaxConns)
+}
