--- /dev/null
+++ b/internal/runtime/peers.go
@@ -0,0 +1,190 @@
+package runtime
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/core"
+	"github.com/chicoryscale/chicoryscale/internal/telemetry"
+)
+
+const (
+	// peerQueue bounds the envelopes that wait for one peer.
+	peerQueue = 64
+	// peerIdle is the time without envelopes after which a connection is closed.
+	peerIdle = 30 * time.Second
+	// Bounds of the back-off between connection attempts, with full jitter.
+	backoffBase = 100 * time.Millisecond
+	backoffCap  = 5 * time.Second
+)
+
+// peerSet holds the persistent control connections to other nodes.
+type peerSet struct {
+	opts *Options
+	// failed receives the envelopes that were not delivered. It may block.
+	failed func(addr string, env *core.Envelope)
+
+	mu     sync.Mutex
+	peers  map[string]*peer
+	closed bool
+	stop   chan struct{}
+	wg     sync.WaitGroup
+}
+
+func newPeerSet(opts *Options, failed func(string, *core.Envelope)) *peerSet {
+	return &peerSet{opts: opts, failed: failed, peers: make(map[string]*peer), stop: make(chan struct{})}
+}
+
+// send queues an envelope without blocking. A full queue counts as a failure.
+func (s *peerSet) send(addr string, env core.Envelope) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	p := s.peers[addr]
+	if p == nil {
+		p = &peer{set: s, addr: addr, queue: make(chan core.Envelope, peerQueue)}
+		s.peers[addr] = p
+		s.wg.Go(p.run)
+	}
+	select {
+	case p.queue <- env:
+	default:
+		s.opts.Metrics.SendsFailed.Add(1)
+		s.wg.Go(func() { s.failed(addr, &env) })
+	}
+}
+
+// retire removes an idle peer unless an envelope has just been queued.
+func (s *peerSet) retire(p *peer) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(p.queue) > 0 {
+		return false
+	}
+	delete(s.peers, p.addr)
+	return true
+}
+
+func (s *peerSet) close() {
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
+	close(s.stop)
+	s.wg.Wait()
+}
+
+// peer sends envelopes to one address in order, one at a time.
+type peer struct {
+	set     *peerSet
+	addr    string
+	queue   chan core.Envelope
+	client  *rpc.Client
+	failing int       // failures in a row
+	retryAt time.Time // no connection attempt before
+}
+
+func (p *peer) run() {
+	defer p.disconnect()
+	idle := time.NewTimer(peerIdle)
+	defer idle.Stop()
+	for {
+		select {
+		case <-p.set.stop:
+			return
+		case env := <-p.queue:
+			if err := p.deliver(&env); err != nil {
+				p.set.opts.Metrics.SendsFailed.Add(1)
+				p.set.failed(p.addr, &env)
+			}
+			idle.Reset(peerIdle)
+		case <-idle.C:
+			if p.set.retire(p) {
+				return
+			}
+			idle.Reset(peerIdle)
+		}
+	}
+}
+
+func (p *peer) deliver(env *core.Envelope) error {
+	if err := p.connect(); err != nil {
+		return err
+	}
+	call := p.client.Go(methodDeliver, env, new(Ack), make(chan *rpc.Call, 1))
+	timer := time.NewTimer(controlTimeout)
+	defer timer.Stop()
+	var err error
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-timer.C:
+		err = ErrTimeout.New("no acknowledgement within %v", controlTimeout)
+	case <-p.set.stop:
+		err = ErrSend.New("node is stopping")
+	}
+	if err != nil {
+		p.fail()
+		return failure(ErrSend, "deliver", p.addr, err)
+	}
+	p.failing = 0
+	return nil
+}
+
+// connect opens the connection unless it is open. During the back-off it fails
+// at once.
+func (p *peer) connect() error {
+	if p.client != nil {
+		return nil
+	}
+	if time.Now().Before(p.retryAt) {
+		return failure(ErrSend, "back-off", p.addr, ErrTimeout.New("waiting to reconnect"))
+	}
+	c, err := net.DialTimeout("tcp", p.addr, controlTimeout)
+	if err != nil {
+		p.fail()
+		return failure(ErrSend, "dial", p.addr, err)
+	}
+	p.client = rpc.NewClient(&countedConn{Conn: c, metrics: p.set.opts.Metrics})
+	return nil
+}
+
+func (p *peer) fail() {
+	p.disconnect()
+	limit := min(backoffBase<<min(p.failing, 10), backoffCap)
+	p.failing++
+	p.retryAt = time.Now().Add(rand.N(limit))
+}
+
+func (p *peer) disconnect() {
+	if p.client != nil {
+		_ = p.client.Close()
+		p.client = nil
+	}
+}
+
+// countedConn counts the bytes of an outgoing control connection and bounds its
+// writes.
+type countedConn struct {
+	net.Conn
+	metrics *telemetry.Metrics
+}
+
+// Read implements io.Reader.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.metrics.ControlBytes(telemetry.Received, telemetry.CauseDeliver, n)
+	return n, err
+}
+
+// Write implements io.Writer with the write timeout.
+func (c *countedConn) Write(p []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(controlTimeout))
+	n, err := c.Conn.Write(p)
+	c.metrics.ControlBytes(telemetry.Sent, telemetry.CauseDeliver, n)
+	return n, err
+}
