Add the core reducer over all events

Cause: the sub-reducers need one state machine that routes events to them and turns their effects into the effects of a step. Change: internal/core combines membership, distribution, publication, routing, admission, retries, claims, suspects and moves.

--- a/internal/claims/manager.go
+++ b/internal/claims/manager.go
@@ -55,7 +55,7 @@
 
 func (s *State) tickManager(now mesh.Time, dir Directory, active bool, out *Effects) {
 	m := &s.manager
-	if !active {
+	if !active || s.stopped {
 		m.known = false
 		return
 	}
--- a/internal/claims/state.go
+++ b/internal/claims/state.go
@@ -23,7 +23,8 @@
 	Verdict Verdict
 }
 
-// Item is a view that the distribution tree carries to all nodes.
+// Item is a view that the distribution tree carries to all nodes. Value is the
+// platform row's value.
 type Item struct {
 	Key   string
 	Step  uint64
@@ -72,6 +73,7 @@
 	nextTicket uint64
 	pending    map[uint64]pendingClaim
 	grants     map[mesh.CallID]grant
+	stopped    bool
 	// local holds messages from this node to itself within a step.
 	local []Message
 }
@@ -120,6 +122,13 @@
 // Finish forgets the grant of a call that ran or may have run.
 func (s *State) Finish(call mesh.CallID) { delete(s.grants, call) }
 
+// Stop ends this node's part in its shards before it leaves. It grants nothing
+// afterwards, so that its record as left is proof for a new view.
+func (s *State) Stop() {
+	s.stopped = true
+	s.owned = [ShardCount]*ownedShard{}
+}
+
 // Receive handles a message from a peer.
 func (s *State) Receive(now mesh.Time, m *Message, out *Effects) {
 	s.handle(now, m, out)
@@ -150,7 +159,7 @@
 		return
 	}
 	s.views[v.Domain] = v
-	if v.Domain != s.domain {
+	if v.Domain != s.domain || s.stopped {
 		return
 	}
 	for i := range v.Shards {
--- /dev/null
+++ b/internal/core/gate.go
@@ -0,0 +1,141 @@
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/admission"
+	"github.com/chicoryscale/chicoryscale/internal/membership"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
+)
+
+// gateCall is a forwarded call that waits or runs at this host.
+type gateCall struct {
+	instance    mesh.InstanceID
+	fingerprint mesh.Fingerprint
+	crashes     uint8
+}
+
+// gateArrived admits, queues or rejects a forwarded call.
+func (n *Node) gateArrived(ev *Event, out *Ready) {
+	in := &ev.Gate
+	n.counters.GateCalls++
+	check := n.poison.Check(ev.Now, in.Fingerprint, in.Crashes)
+	if check.Verdict == poison.Convicted {
+		n.counters.GateRejected++
+		out.Gates = append(out.Gates, GateEffect{
+			Call: in.Call, Action: GateReject, Outcome: mesh.MayHaveRun, Reason: mesh.ReasonPoison,
+		})
+		return
+	}
+	n.gateCalls[in.Call] = gateCall{instance: in.Instance, fingerprint: in.Fingerprint, crashes: check.Crashes}
+	n.scratch.gate = n.gate.Arrive(ev.Now, admission.Call{
+		ID: in.Call, Instance: in.Instance, Priority: in.Priority,
+		Deadline:    ev.Now.Add(time.Duration(in.DeadlineMillis) * time.Millisecond),
+		Fingerprint: in.Fingerprint, Exclusive: check.Verdict == poison.Suspect,
+	}, n.scratch.gate)
+	n.flushGate(out)
+}
+
+// gateDone frees the slot of a call and records what its end says about the
+// request.
+func (n *Node) gateDone(ev *Event, out *Ready) {
+	in := &ev.GateDone
+	c, ok := n.gateCalls[in.Call]
+	if !ok {
+		n.counters.BadMessages++
+		return
+	}
+	delete(n.gateCalls, in.Call)
+	switch in.Result {
+	case GateAnswered:
+		n.poison.Succeeded(ev.Now, c.fingerprint)
+		n.scratch.gate = n.gate.Done(ev.Now, in.Call, admission.Finished, n.scratch.gate)
+	case GateLost:
+		n.gateLost(ev, c)
+	default:
+		n.scratch.gate = n.gate.Done(ev.Now, in.Call, admission.NotStarted, n.scratch.gate)
+	}
+	n.flushGate(out)
+}
+
+func (n *Node) gateLost(ev *Event, c gateCall) {
+	if !ev.GateDone.Crashed {
+		n.scratch.gate = n.gate.Done(ev.Now, ev.GateDone.Call, admission.Lost, n.scratch.gate)
+		return
+	}
+	n.scratch.inFlight, n.scratch.gate = n.gate.Crashed(ev.Now, ev.GateDone.Call, n.scratch.inFlight[:0], n.scratch.gate)
+	if len(n.scratch.inFlight) > 0 {
+		n.counters.Crashes++
+		n.poison.Crashed(ev.Now, n.scratch.inFlight, c.crashes)
+	}
+}
+
+// gateCancelled removes a queued call whose entry node gave it up. A call that
+// is in flight keeps its slot until the backend server is done with it.
+func (n *Node) gateCancelled(ev *Event, out *Ready) {
+	var queued bool
+	n.scratch.gate, queued = n.gate.Cancel(ev.Now, ev.CallID, n.scratch.gate)
+	if queued {
+		delete(n.gateCalls, ev.CallID)
+	}
+	n.flushGate(out)
+}
+
+// announced takes in the announcement of a local backend server.
+func (n *Node) announced(ev *Event, out *Ready) {
+	a := ev.Announcement
+	err := n.members.Announce(ev.Now, membership.Announcement{
+		Backend: membership.Backend{
+			Instance: a.Instance, Service: a.Service, Version: a.Version, Slots: a.Slots, Draining: a.Draining,
+		},
+		Addr: a.Addr, Lease: time.Duration(a.LeaseMillis) * time.Millisecond,
+	}, &n.scratch.members)
+	if err != nil {
+		n.counters.BadMessages++
+		return
+	}
+	n.local[a.Instance] = true
+	n.scratch.gate = n.gate.SetInstance(ev.Now, admission.Instance{ID: a.Instance, Slots: a.Slots, Draining: a.Draining}, n.scratch.gate)
+	n.flushMembers(ev.Now, out)
+	n.flushGate(out)
+}
+
+// removeExpired takes backend servers whose lease has ended from the gate.
+func (n *Node) removeExpired(now mesh.Time) {
+	for _, id := range slices.Sorted(maps.Keys(n.local)) {
+		if _, ok := n.members.Backend(id); ok {
+			continue
+		}
+		delete(n.local, id)
+		n.scratch.gate = n.gate.RemoveInstance(now, id, n.scratch.gate)
+	}
+}
+
+// flushGate turns the gate's effects into effects of the step.
+func (n *Node) flushGate(out *Ready) {
+	for _, e := range n.scratch.gate {
+		switch e.Action {
+		case admission.Dispatch:
+			n.dispatch(e, out)
+		case admission.Reject:
+			delete(n.gateCalls, e.Call)
+			n.counters.GateRejected++
+			out.Gates = append(out.Gates, GateEffect{
+				Call: e.Call, Action: GateReject, Outcome: mesh.NotRun, Reason: e.Reason, Load: e.Load,
+			})
+		case admission.InstanceEmpty:
+			out.Timeline = append(out.Timeline, TimelineEntry{Kind: "backend.drained", Detail: string(e.Instance), Host: n.settings.Host})
+		}
+	}
+	n.scratch.gate = n.scratch.gate[:0]
+}
+
+func (n *Node) dispatch(e admission.Effect, out *Ready) {
+	backend, _ := n.members.Backend(e.Instance)
+	out.Gates = append(out.Gates, GateEffect{
+		Call: e.Call, Action: GateDispatch, Addr: backend.Addr, Version: backend.Version, Deadline: e.Deadline, Load: e.Load,
+	})
+}
--- /dev/null
+++ b/internal/core/peers.go
@@ -0,0 +1,265 @@
+package core
+
+import (
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/claims"
+	"github.com/chicoryscale/chicoryscale/internal/config"
+	"github.com/chicoryscale/chicoryscale/internal/distribution"
+	"github.com/chicoryscale/chicoryscale/internal/membership"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/moves"
+	"github.com/chicoryscale/chicoryscale/internal/retry"
+)
+
+const (
+	// startupTime is the time after the start of the process in which newly
+	// learned instances count as old ones.
+	startupTime = 10 * time.Second
+	// coldStartTime is the time in which a new instance's latency is no evidence
+	// about its version.
+	coldStartTime = 10 * time.Second
+)
+
+// outbox collects the messages of a step by peer, so that each peer is sent
+// one envelope.
+type outbox struct {
+	peers []peerMessages
+}
+
+type peerMessages struct {
+	host         mesh.HostID
+	addr         string
+	membership   []membership.Message
+	distribution []distribution.Message
+	claims       []claims.Message
+	moves        []moves.Message
+}
+
+// to returns the messages for a peer, identified by host or, before its host
+// is known, by address.
+func (o *outbox) to(host mesh.HostID, addr string) *peerMessages {
+	for i := range o.peers {
+		p := &o.peers[i]
+		if p.host == host && (host != "" || p.addr == addr) {
+			return p
+		}
+	}
+	o.peers = append(o.peers, peerMessages{host: host, addr: addr})
+	return &o.peers[len(o.peers)-1]
+}
+
+// flush appends one envelope for each peer. Messages to a host whose address
+// is not known are dropped: the protocols repeat them.
+func (o *outbox) flush(n *Node, out *Ready) {
+	for i := range o.peers {
+		p := &o.peers[i]
+		addr := p.addr
+		if addr == "" {
+			addr, _ = n.members.Addr(p.host)
+		}
+		if addr == "" {
+			continue
+		}
+		env := Envelope{From: n.settings.Host, Incarnation: n.members.Self().Incarnation, Claims: p.claims, Moves: p.moves}
+		if len(p.membership) > 0 {
+			env.Membership = membership.EncodeMessages(p.membership)
+		}
+		if len(p.distribution) > 0 {
+			env.Distribution = distribution.EncodeMessages(p.distribution)
+		}
+		out.Sends = append(out.Sends, Send{Addr: addr, Envelope: env})
+	}
+	o.peers = o.peers[:0]
+}
+
+// envelope takes in the control messages of a peer. Membership comes first, so
+// that the other messages find the sender's record.
+func (n *Node) envelope(ev *Event, out *Ready) {
+	env := ev.Envelope
+	if messages, err := membership.DecodeMessages(env.Membership); err != nil {
+		n.counters.BadMessages++
+	} else {
+		for i := range messages {
+			n.members.Receive(ev.Now, env.From, env.Incarnation, &messages[i], &n.scratch.members)
+		}
+	}
+	n.flushMembers(ev.Now, out)
+	if messages, err := distribution.DecodeMessages(env.Distribution); err != nil {
+		n.counters.BadMessages++
+	} else {
+		for i := range messages {
+			n.dist.Receive(ev.Now, env.From, &messages[i], &n.scratch.dist)
+		}
+	}
+	n.flushDist(ev.Now, out)
+	for i := range env.Claims {
+		n.claims.Receive(ev.Now, &env.Claims[i], &n.scratch.claims)
+	}
+	n.flushClaims(ev.Now, ev.Seed, out)
+	for i := range env.Moves {
+		n.moves.Message(ev.Now, env.From, &env.Moves[i], &n.scratch.moves)
+	}
+	n.flushMoves(out)
+}
+
+// flushDist sends distribution messages and puts an applied configuration in
+// force.
+func (n *Node) flushDist(now mesh.Time, out *Ready) {
+	d := &n.scratch.dist
+	for i := range d.Sends {
+		p := n.scratch.outbox.to(d.Sends[i].To, "")
+		p.distribution = append(p.distribution, d.Sends[i].Message)
+	}
+	platformOf(OwnerDistribution, d.Platform, out)
+	for _, item := range d.Items {
+		if n.claims.SetView(item.Value) != nil {
+			n.counters.BadMessages++
+		}
+	}
+	for _, r := range d.Rejected {
+		out.Timeline = append(out.Timeline, TimelineEntry{Kind: "config.rejected", Config: r.Version, Host: n.settings.Host, Detail: r.Reason})
+	}
+	if len(d.Applied) > 0 {
+		n.apply(&d.Applied[len(d.Applied)-1], out)
+	}
+	established := d.Established
+	d.Reset()
+	if established {
+		n.members.SetEstablished(now, &n.scratch.members)
+		n.flushMembers(now, out)
+		out.Timeline = append(out.Timeline, TimelineEntry{Kind: "config.floor_known", Host: n.settings.Host})
+	}
+}
+
+// apply puts a configuration in force by one pointer swap.
+func (n *Node) apply(a *distribution.Applied, out *Ready) {
+	accepted, err := config.AcceptEncoded(a.Content, config.Hash(a.Head.Hash))
+	if err != nil {
+		n.counters.BadMessages++ // distribution has validated the content
+		return
+	}
+	old := n.accepted
+	n.accepted = accepted
+	n.updateClasses(old)
+	out.Timeline = append(out.Timeline, TimelineEntry{Kind: "config.applied", Config: a.Head.Version, Host: n.settings.Host})
+}
+
+func (n *Node) updateClasses(old *config.Accepted) {
+	names := make(map[mesh.Class]bool)
+	for _, c := range n.accepted.Snapshot.Classes {
+		names[c.Name] = true
+		n.retrier.SetClass(retry.ClassPolicy{
+			Class: c.Name, Idempotent: c.Idempotent, Budget: retry.Parts(c.RetryBudgetShare * 10_000),
+		})
+	}
+	if old == nil {
+		return
+	}
+	for _, c := range old.Snapshot.Classes {
+		if !names[c.Name] {
+			n.retrier.RemoveClass(c.Name)
+		}
+	}
+}
+
+// directory adapts membership to the knowledge that claims need.
+type directory struct{ members *membership.Reducer }
+
+// Live implements claims.Directory.
+func (d directory) Live(domain mesh.FailureDomain) []claims.Replica {
+	members := d.members.Members(domain)
+	live := make([]claims.Replica, 0, len(members))
+	for _, m := range members {
+		live = append(live, claims.Replica{Host: m.Host, Started: mesh.Time(m.Started)})
+	}
+	return live
+}
+
+// Ended implements claims.Directory. A process that left has stopped granting
+// before it announced so.
+func (d directory) Ended(r claims.Replica) bool {
+	m := d.members.Member(r.Host)
+	if m == nil {
+		return false
+	}
+	return mesh.Time(m.Started) > r.Started || m.State == membership.Left || m.State == membership.Forgotten
+}
+
+func (n *Node) tickClaims(ev *Event, out *Ready) {
+	readers := n.members.Readers(n.settings.Domain)
+	n.claims.SetManagers(readers)
+	manages := n.members.IsReader() && len(readers) > 0 && readers[0] == n.settings.Host
+	n.claims.Tick(ev.Now, directory{n.members}, manages, &n.scratch.claims)
+	n.flushClaims(ev.Now, ev.Seed, out)
+}
+
+// flushClaims sends claim messages and continues the calls whose claims were
+// decided. Continuing a call can produce further effects.
+func (n *Node) flushClaims(now mesh.Time, seed uint64, out *Ready) {
+	e := &n.scratch.claims
+	for len(e.Verdicts) > 0 {
+		v := e.Verdicts[0]
+		e.Verdicts = e.Verdicts[1:]
+		n.claimDecided(now, seed, v, out)
+	}
+	n.flushClaimSends(now, out)
+}
+
+func (n *Node) flushClaimSends(now mesh.Time, out *Ready) {
+	e := &n.scratch.claims
+	for i := range e.Sends {
+		p := n.scratch.outbox.to(e.Sends[i].To, "")
+		p.claims = append(p.claims, e.Sends[i].Message)
+	}
+	e.Sends = e.Sends[:0]
+	platformOf(OwnerClaims, e.Platform, out)
+	e.Platform = e.Platform[:0]
+	items := e.Items
+	e.Items = nil
+	for _, item := range items {
+		n.dist.PutItem(now, distribution.Item{ID: item.Key, Step: item.Step, Value: item.Value}, &n.scratch.dist)
+	}
+	if len(items) > 0 {
+		n.flushDist(now, out)
+	}
+}
+
+// flushMoves sends the moves' messages and reports their events and replies.
+func (n *Node) flushMoves(out *Ready) {
+	e := &n.scratch.moves
+	for i := range e.Sends {
+		p := n.scratch.outbox.to(e.Sends[i].To, "")
+		p.moves = append(p.moves, e.Sends[i].Message)
+	}
+	platformOf(OwnerMoves, e.Platform, out)
+	for i := range e.Events {
+		out.Timeline = append(out.Timeline, moveEntry(n.settings.Host, &e.Events[i]))
+	}
+	for _, r := range e.Replies {
+		reply := OperatorReply{ID: r.ID}
+		if r.Err != nil {
+			reply.Err = r.Err.Error()
+		}
+		out.Replies = append(out.Replies, reply)
+	}
+	e.Reset()
+}
+
+func (n *Node) platformResult(ev *Event, out *Ready) {
+	res := &ev.Platform.Result
+	switch ev.Platform.Owner {
+	case OwnerPublish:
+		n.publish.PlatformResult(ev.Now, res, &n.scratch.publish)
+		n.flushPublish(ev.Now, out)
+	case OwnerDistribution:
+		n.dist.PlatformResult(ev.Now, res, &n.scratch.dist)
+		n.flushDist(ev.Now, out)
+	case OwnerClaims:
+		n.claims.PlatformResult(ev.Now, res, &n.scratch.claims)
+		n.flushClaims(ev.Now, ev.Seed, out)
+	case OwnerMoves:
+		n.moves.Platform(ev.Now, res, &n.scratch.moves)
+		n.flushMoves(out)
+	}
+}
--- /dev/null
+++ b/internal/core/poison.go
@@ -0,0 +1,69 @@
+package core
+
+import (
+	"encoding/binary"
+
+	"github.com/chicoryscale/chicoryscale/internal/distribution"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
+)
+
+// aggregatePoison is the aggregate that carries suspects to all nodes.
+const aggregatePoison distribution.AggregateKind = 1
+
+// entryBytes is the encoded size of a suspect: fingerprint, crash count, time.
+const entryBytes = 8 + 1 + 8
+
+// sharePoison exchanges suspects with the other nodes through the tree. The
+// table changes rarely, so nothing is sent in steady state.
+func (n *Node) sharePoison(now mesh.Time) {
+	if all := n.dist.Aggregate(aggregatePoison); len(all) > 0 {
+		n.poison.Merge(now, decodeEntries(all))
+	}
+	if v := n.poison.Version(); v != n.poisonVersion {
+		n.poisonVersion = v
+		n.scratch.entries = n.poison.AppendEntries(now, n.scratch.entries[:0])
+		n.dist.SetLocal(aggregatePoison, encodeEntries(n.scratch.entries))
+	}
+}
+
+func encodeEntries(entries []poison.Entry) []byte {
+	if len(entries) == 0 {
+		return nil
+	}
+	out := make([]byte, 0, len(entries)*entryBytes)
+	for _, e := range entries {
+		out = binary.BigEndian.AppendUint64(out, uint64(e.Fingerprint))
+		out = append(out, e.Crashes)
+		out = binary.BigEndian.AppendUint64(out, uint64(e.At))
+	}
+	return out
+}
+
+// decodeEntries reads encodeEntries' form and ignores an incomplete rest.
+func decodeEntries(b []byte) []poison.Entry {
+	entries := make([]poison.Entry, 0, len(b)/entryBytes)
+	for len(b) >= entryBytes && len(entries) < poison.MaxEntries {
+		entries = append(entries, poison.Entry{
+			Fingerprint: mesh.Fingerprint(binary.BigEndian.Uint64(b)),
+			Crashes:     b[8],
+			At:          mesh.Time(binary.BigEndian.Uint64(b[9:])),
+		})
+		b = b[entryBytes:]
+	}
+	return entries
+}
+
+// mergePoison combines the suspects of two subtrees through a table, which
+// applies the same rules as a node does.
+func mergePoison(a, b []byte) []byte {
+	t := poison.New()
+	first, second := decodeEntries(a), decodeEntries(b)
+	var now mesh.Time
+	for _, e := range append(first, second...) {
+		now = max(now, e.At)
+	}
+	t.Merge(now, first)
+	t.Merge(now, second)
+	return encodeEntries(t.AppendEntries(now, nil))
+}
--- /dev/null
+++ b/internal/core/tick.go
@@ -0,0 +1,161 @@
+package core
+
+import (
+	"github.com/chicoryscale/chicoryscale/internal/membership"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/moves"
+	"github.com/chicoryscale/chicoryscale/internal/routing"
+)
+
+// tick advances the timers of all jobs.
+func (n *Node) tick(ev *Event, out *Ready) {
+	now := ev.Now
+	n.members.Tick(now, ev.Seed, &n.scratch.members)
+	n.flushMembers(now, out)
+	n.sharePoison(now)
+	n.dist.Tick(now, mix(ev.Seed), &n.scratch.dist)
+	n.flushDist(now, out)
+	n.publish.Tick(now, &n.scratch.publish)
+	n.flushPublish(now, out)
+	n.tickMoves(now, out)
+	n.tickClaims(ev, out)
+	n.poison.Expire(now)
+	n.removeExpired(now)
+	n.scratch.gate = n.gate.Tick(now, n.scratch.gate)
+	n.flushGate(out)
+	n.updateInstances(now)
+	n.checkDrained(now, out)
+}
+
+func (n *Node) tickMoves(now mesh.Time, out *Ready) {
+	n.moves.SetLinks(n.moveLinks())
+	n.moves.Tick(now, &n.scratch.moves)
+	n.flushMoves(out)
+}
+
+// moveLinks returns this node's place in the tree. The first reader of a
+// failure domain is its root.
+func (n *Node) moveLinks() moves.Links {
+	links := moves.Links{Down: n.members.Children(), Reader: n.members.IsReader()}
+	up, ok := n.members.Parent()
+	if ok {
+		links.Up = up
+		return links
+	}
+	for _, d := range n.members.Domains() {
+		if d == n.settings.Domain || n.members.Unreachable(d) {
+			continue
+		}
+		if readers := n.members.Readers(d); len(readers) > 0 {
+			links.Tops = append(links.Tops, readers[0])
+		}
+	}
+	return links
+}
+
+// standingChanged records that routing ejected or readmitted an instance.
+func (n *Node) standingChanged(t routing.Target, change routing.Change, out *Ready) {
+	kind := "instance.ejected"
+	if change == routing.Readmitted {
+		kind = "instance.readmitted"
+	} else {
+		n.counters.Ejections++
+	}
+	out.Timeline = append(out.Timeline, TimelineEntry{Kind: kind, Detail: string(t.Instance), Host: t.Host})
+}
+
+// flushMembers sends membership messages and notes changes of members.
+func (n *Node) flushMembers(now mesh.Time, out *Ready) {
+	m := &n.scratch.members
+	for i := range m.Sends {
+		s := &m.Sends[i]
+		p := n.scratch.outbox.to(s.To, s.Addr)
+		p.membership = append(p.membership, s.Message)
+	}
+	for i := range m.Changes {
+		n.memberChanged(now, &m.Changes[i], out)
+	}
+	m.Reset()
+}
+
+func (n *Node) memberChanged(now mesh.Time, c *membership.Change, out *Ready) {
+	n.instancesDirty = true
+	for i := range c.New.Backends {
+		n.noteInstance(now, c.New.Backends[i].Instance)
+	}
+	if c.Old != nil && c.Old.State == c.New.State && c.Old.Incarnation == c.New.Incarnation {
+		return
+	}
+	out.Timeline = append(out.Timeline, TimelineEntry{Kind: "member." + c.New.State.String(), Host: c.New.Host})
+}
+
+// noteInstance remembers when an instance was first announced. Instances that
+// a node learns while it starts are taken as warm, because it cannot tell.
+func (n *Node) noteInstance(now mesh.Time, id mesh.InstanceID) {
+	if _, ok := n.firstSeen[id]; ok {
+		return
+	}
+	n.firstSeen[id] = 0
+	if now.Sub(n.settings.Started) > startupTime {
+		n.firstSeen[id] = now
+	}
+}
+
+// cold reports whether an instance is in its cold start.
+func (n *Node) cold(now mesh.Time, id mesh.InstanceID) bool {
+	seen := n.firstSeen[id]
+	return seen != 0 && now.Sub(seen) < coldStartTime
+}
+
+// updateInstances rebuilds the routing table after changes of members.
+func (n *Node) updateInstances(now mesh.Time) {
+	if !n.instancesDirty {
+		return
+	}
+	n.instancesDirty = false
+	list := n.scratch.instances[:0]
+	known := make(map[mesh.InstanceID]mesh.Time, len(n.firstSeen))
+	for _, d := range n.members.Domains() {
+		reachable := !n.members.Unreachable(d)
+		for _, m := range n.members.Members(d) {
+			for i := range m.Backends {
+				b := &m.Backends[i]
+				known[b.Instance] = n.firstSeen[b.Instance]
+				list = append(list, routing.Instance{
+					Host: m.Host, Domain: d, ID: b.Instance, Service: b.Service, Version: b.Version, Slots: b.Slots,
+					Draining: b.Draining, Reachable: reachable, FirstAnnounced: known[b.Instance],
+				})
+			}
+		}
+	}
+	n.firstSeen, n.scratch.instances = known, list
+	n.router.SetInstances(now, list)
+}
+
+// establishedPeer returns a random live node that knows its version floor,
+// of the own failure domain if it has one.
+func (n *Node) establishedPeer(seed uint64) *membership.Record {
+	if m := n.establishedIn(n.settings.Domain, seed); m != nil {
+		return m
+	}
+	for _, d := range n.members.Domains() {
+		if n.members.Unreachable(d) {
+			continue
+		}
+		if m := n.establishedIn(d, seed); m != nil {
+			return m
+		}
+	}
+	return nil
+}
+
+func (n *Node) establishedIn(d mesh.FailureDomain, seed uint64) *membership.Record {
+	members := n.members.Members(d)
+	for i := range members {
+		m := members[(i+int(seed%uint64(len(members))))%len(members)]
+		if m.Established && m.Host != n.settings.Host {
+			return m
+		}
+	}
+	return nil
+}
--- a/internal/distribution/reads.go
+++ b/internal/distribution/reads.go
@@ -125,9 +125,11 @@
 	}
 	p.head, p.started, p.next = p.nextID(), now, now.Add(PollInterval)
 	p.served, p.waiting = p.waiting, nil
-	out.Platform = append(out.Platform, platform.Request{
-		ID: p.head, Op: platform.OpRead, Keys: []string{HeadKey}, Prefixes: []string{ItemPrefix},
-	})
+	req := platform.Request{ID: p.head, Op: platform.OpRead, Keys: []string{HeadKey}}
+	if r.settings.ItemStep != nil {
+		req.Prefixes = []string{ItemPrefix}
+	}
+	out.Platform = append(out.Platform, req)
 }
 
 // readFailed lets the peers wait for the next read.
