Test the core reducer over several nodes and measure its call path

Cause: the combination of the sub-reducers was untested. Change: tests connect the reducers of four nodes, a table and fake backend servers in virtual time: publication, conflict, restart without the platform, resends, lost and refused orders, drain, death of a node, crashing requests.

--- /dev/null
+++ b/internal/core/core_test.go
@@ -0,0 +1,189 @@
+package core
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/publish"
+)
+
+func ready(t testing.TB) *group {
+	g := newGroup(t, "ifrane-1", "ifrane-2", "azrou-1", "azrou-2")
+	g.run(3 * time.Second)
+	for _, h := range g.hosts {
+		g.announce(h, "v1")
+	}
+	if r := g.apply("ifrane-1", 0, "op-1"); r.Publish == nil || r.Publish.Status != publish.Done {
+		t.Fatalf("apply: %+v", r)
+	}
+	g.run(10 * time.Second)
+	return g
+}
+
+// Guards against an accepted configuration that is not in force everywhere
+// after 4 s, and against calls that no node can route.
+func TestAcceptedConfigurationServesCallsOnEveryNode(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	for i, h := range g.hosts {
+		is.Equal(g.nodes[h].Applied(), mesh.ConfigVersion(1))
+		is.Equal(g.lookup(h, mesh.CallID(i+1)).Action, CallRespond)
+	}
+}
+
+// Guards against two operators giving one version number two meanings.
+func TestConflictingApplyNamesTheCurrentVersion(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	r := g.apply("azrou-1", 0, "op-2")
+	is.Equal(r.Publish.Status, publish.Conflict)
+	is.Equal(r.Publish.Version, mesh.ConfigVersion(1))
+}
+
+// Guards against a restarted node that applies an old version or refuses its
+// calls while the platform is out of reach.
+func TestRestartedNodeRelaysUntilItsFloorIsKnown(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	for _, h := range g.hosts {
+		g.cut[h] = true
+	}
+	g.start("azrou-1")
+	g.run(5 * time.Second)
+	is.Equal(g.nodes["azrou-1"].Applied(), mesh.ConfigVersion(0))
+	is.Equal(g.lookup("azrou-1", 50).Action, CallRespond)
+	for _, h := range g.hosts {
+		delete(g.cut, h)
+	}
+	g.run(10 * time.Second)
+	is.Equal(g.nodes["azrou-1"].Applied(), mesh.ConfigVersion(1))
+}
+
+// Guards against a non-idempotent request that runs twice over a resend to
+// another node, and against a resend that is reported as not run.
+func TestResentOrderRunsOnce(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	g.ran = 0
+	id := g.identity("ifrane")
+	is.Equal(g.order("ifrane-1", 1, id).Action, CallRespond)
+	for i, h := range g.hosts {
+		r := g.order(h, mesh.CallID(10+i), id)
+		is.Equal(r.Action, CallReject)
+		is.Equal(r.Outcome, mesh.MayHaveRun)
+		is.Equal(r.Reason, mesh.ReasonDuplicate)
+	}
+	is.Equal(g.ran, 1)
+}
+
+// Guards against a retry of a non-idempotent call whose backend server was
+// lost with it.
+func TestLostOrderIsNotRetried(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	g.ran = 0
+	g.backend = func(string, mesh.BackendVersion) GateDone { return GateDone{Result: GateLost} }
+	r := g.order("ifrane-1", 1, g.identity("ifrane"))
+	is.Equal(r.Outcome, mesh.MayHaveRun)
+	is.Equal(g.ran, 1)
+}
+
+// Guards against a resend that is refused although no backend server was given
+// the request.
+func TestOrderThatSurelyDidNotRunMayBeResent(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	g.backend = func(string, mesh.BackendVersion) GateDone { return GateDone{Result: GateShed} }
+	id := g.identity("azrou")
+	is.Equal(g.order("azrou-1", 1, id).Outcome, mesh.NotRun)
+	g.backend = nil
+	is.Equal(g.order("ifrane-2", 2, id).Action, CallRespond)
+}
+
+// Guards against a graceful stop that cuts a call in flight or never ends.
+func TestDrainWaitsForCallsInFlight(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	g.step("ifrane-2", Event{Kind: KindGateArrived, Gate: GateArrived{Call: 9999, Instance: "ifrane-2-v1", DeadlineMillis: 60_000}})
+	g.queue = nil // the backend server is still at work
+	g.step("ifrane-2", Event{Kind: KindDrain})
+	g.run(3 * time.Second)
+	is.True(!g.drained["ifrane-2"])
+	g.step("ifrane-2", Event{Kind: KindGateDone, GateDone: GateDone{Call: 9999, Result: GateAnswered}})
+	g.run(time.Second)
+	is.True(g.drained["ifrane-2"])
+	for i := range 20 {
+		is.Equal(g.lookup("ifrane-1", mesh.CallID(100+i)).Action, CallRespond)
+	}
+}
+
+// Guards against calls failing for longer than the detection of a dead node
+// takes, and against claims that stay unavailable after it.
+func TestCallsGoOnAfterANodeDies(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	g.nodes["azrou-2"] = nil
+	g.run(12 * time.Second)
+	for i := range 20 {
+		is.Equal(g.lookup("azrou-1", mesh.CallID(i+1)).Action, CallRespond)
+	}
+	is.Equal(g.order("azrou-1", 100, g.identity("azrou")).Action, CallRespond)
+}
+
+// Guards against a request that crashes backend servers without end.
+func TestCrashingRequestIsBlocked(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	g.backend = func(string, mesh.BackendVersion) GateDone {
+		return GateDone{Result: GateLost, Crashed: true}
+	}
+	for i := range 6 {
+		for _, h := range g.hosts {
+			g.announce(h, "v1") // the backend servers start again
+		}
+		is.Equal(g.lookup("ifrane-1", mesh.CallID(i+1)).Outcome, mesh.MayHaveRun)
+	}
+	is.True(g.ran <= 3)
+	g.run(5 * time.Second)
+	is.Equal(g.lookup("azrou-1", 50).Reason, mesh.ReasonPoison)
+}
+
+// Guards against a decision on the path of a call that allocates memory.
+func BenchmarkCallDecisions(b *testing.B) {
+	g := ready(b)
+	n := g.nodes["ifrane-1"]
+	var out Ready
+	arrived := Event{Kind: KindCallArrived, Now: g.now, Call: CallArrived{Method: []byte("GET"), Path: []byte("/stock/7")}}
+	done := Event{Kind: KindAttemptDone, Now: g.now, Attempt: AttemptDone{Attempt: 1, Outcome: mesh.Answered}}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		arrived.Call.Call, done.Attempt.Call = mesh.CallID(1_000_000+i), mesh.CallID(1_000_000+i)
+		arrived.Seed, done.Seed = mix(uint64(i)), mix(uint64(i))
+		n.Step(&arrived, &out)
+		n.Step(&done, &out)
+		out.Reset()
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+}
+
+// Guards against allocations at the gate.
+func BenchmarkGateDecisions(b *testing.B) {
+	g := ready(b)
+	n := g.nodes["ifrane-1"]
+	var out Ready
+	arrived := Event{Kind: KindGateArrived, Now: g.now, Gate: GateArrived{Instance: "ifrane-1-v1", DeadlineMillis: 500}}
+	done := Event{Kind: KindGateDone, Now: g.now, GateDone: GateDone{Result: GateAnswered}}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		arrived.Gate.Call, done.GateDone.Call = mesh.CallID(1_000_000+i), mesh.CallID(1_000_000+i)
+		n.Step(&arrived, &out)
+		n.Step(&done, &out)
+		out.Reset()
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+}
--- /dev/null
+++ b/internal/core/group_test.go
@@ -0,0 +1,291 @@
+package core
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/chicoryscale/chicoryscale/internal/config"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+	"github.com/chicoryscale/chicoryscale/internal/platform/memstore"
+	"github.com/chicoryscale/chicoryscale/internal/publish"
+)
+
+// delay is the time that an envelope, an attempt or a platform operation takes.
+const delay = time.Millisecond
+
+// group connects the reducers of several nodes, a table and fake backend
+// servers, and delivers their effects in virtual time.
+type group struct {
+	t     testing.TB
+	now   mesh.Time
+	seed  uint64
+	nodes map[string]*Node // by control address
+	hosts []string
+	store *memstore.Store
+	queue []delivery
+	// cut tells that the host cannot reach the platform.
+	cut map[string]bool
+	// backend answers a dispatched call; nil answers at once.
+	backend func(host string, version mesh.BackendVersion) GateDone
+	// gates maps a call at a gate to the attempt that waits for it.
+	gates    map[gateKey]attemptKey
+	nextGate mesh.CallID
+	results  map[mesh.CallID]CallEffect
+	replies  map[uint64]OperatorReply
+	ran      int
+	log      []string
+	drained  map[string]bool
+}
+
+type delivery struct {
+	at   mesh.Time
+	host string
+	ev   Event
+}
+
+type gateKey struct {
+	host string
+	call mesh.CallID
+}
+
+type attemptKey struct {
+	host    string
+	call    mesh.CallID
+	attempt uint8
+}
+
+func newGroup(t testing.TB, hosts ...string) *group {
+	g := &group{
+		t: t, now: mesh.Time(time.Hour), nodes: map[string]*Node{}, hosts: hosts, store: memstore.New(),
+		cut: map[string]bool{}, gates: map[gateKey]attemptKey{}, results: map[mesh.CallID]CallEffect{},
+		replies: map[uint64]OperatorReply{}, drained: map[string]bool{},
+	}
+	for _, h := range hosts {
+		g.start(h)
+	}
+	return g
+}
+
+// start starts a node. Hosts are named "<failure domain>-<number>".
+func (g *group) start(host string) {
+	domain := host[:len(host)-2]
+	g.nodes[host] = New(Settings{
+		Host: mesh.HostID(host), Domain: mesh.FailureDomain(domain), ControlAddr: host, PeerAddr: host,
+		Started: g.now, Seeds: g.hosts,
+	})
+}
+
+func (g *group) step(host string, ev Event) {
+	n := g.nodes[host]
+	if n == nil {
+		return
+	}
+	g.seed++
+	ev.Now, ev.Seed = g.now, mix(g.seed)
+	var out Ready
+	n.Step(&ev, &out)
+	g.execute(host, &out)
+}
+
+func (g *group) execute(host string, out *Ready) {
+	for i := range out.Sends {
+		g.after(out.Sends[i].Addr, Event{Kind: KindEnvelope, Envelope: &out.Sends[i].Envelope})
+	}
+	for _, r := range out.Platform {
+		res := platform.Result{ID: r.Request.ID, Op: r.Request.Op, Status: platform.Unknown}
+		if !g.cut[host] {
+			res = g.store.Execute(&r.Request)
+		}
+		g.after(host, Event{Kind: KindPlatform, Platform: &PlatformResult{Owner: r.Owner, Result: res}})
+	}
+	for _, c := range out.Calls {
+		g.call(host, c)
+	}
+	for _, e := range out.Gates {
+		g.gate(host, e)
+	}
+	for _, r := range out.Replies {
+		g.replies[r.ID] = r
+	}
+	for _, e := range out.Timeline {
+		g.log = append(g.log, fmt.Sprintf("%6dms %s %s %s %s%s%s", g.now.Sub(mesh.Time(time.Hour)).Milliseconds(), host, e.Kind, e.Host, versionText(e.Config), e.Move, e.Detail))
+	}
+	if out.Drained {
+		g.drained[host] = true
+	}
+}
+
+func versionText(v mesh.ConfigVersion) string {
+	if v == 0 {
+		return ""
+	}
+	return v.String() + " "
+}
+
+func (g *group) call(host string, c CallEffect) {
+	switch c.Action {
+	case CallForward:
+		g.nextGate++
+		g.gates[gateKey{c.Addr, g.nextGate}] = attemptKey{host, c.Call, c.Attempt}
+		if g.nodes[c.Addr] == nil {
+			g.attemptDone(c.Addr, g.nextGate, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonConnectionLost})
+			return
+		}
+		g.after(c.Addr, Event{Kind: KindGateArrived, Gate: GateArrived{
+			Call: g.nextGate, Instance: c.Instance, Priority: c.Priority, Idempotent: c.Idempotent, Crashes: c.Crashes,
+			DeadlineMillis: uint32(c.Deadline.Sub(g.now) / time.Millisecond),
+		}})
+	case CallRelay:
+		g.after(c.Addr, Event{Kind: KindCallArrived, Call: CallArrived{
+			Call: c.Call, Method: []byte("GET"), Path: []byte("/stock/7"), Relayed: true,
+		}})
+	default:
+		g.results[c.Call] = c
+	}
+}
+
+func (g *group) gate(host string, e GateEffect) {
+	if e.Action == GateReject {
+		g.attemptDone(host, e.Call, AttemptDone{Outcome: e.Outcome, Reason: e.Reason, Load: e.Load, HasLoad: true})
+		return
+	}
+	done := GateDone{Result: GateAnswered}
+	if g.backend != nil {
+		done = g.backend(host, e.Version)
+	}
+	if done.Result == GateAnswered || done.Result == GateLost {
+		g.ran++
+	}
+	done.Call = e.Call
+	g.after(host, Event{Kind: KindGateDone, GateDone: done})
+	result := AttemptDone{Outcome: mesh.Answered, Failed: done.Failed, Crashed: done.Crashed, Load: e.Load, HasLoad: true}
+	switch done.Result {
+	case GateLost:
+		result.Outcome, result.Reason = mesh.MayHaveRun, mesh.ReasonConnectionLost
+	case GateNotSent, GateShed:
+		result.Outcome, result.Reason = mesh.NotRun, mesh.ReasonOverload
+	}
+	g.attemptDone(host, e.Call, result)
+}
+
+func (g *group) attemptDone(gateHost string, id mesh.CallID, a AttemptDone) {
+	key := g.gates[gateKey{gateHost, id}]
+	delete(g.gates, gateKey{gateHost, id})
+	a.Call, a.Attempt = key.call, key.attempt
+	g.after(key.host, Event{Kind: KindAttemptDone, Attempt: a})
+}
+
+func (g *group) after(host string, ev Event) {
+	g.queue = append(g.queue, delivery{at: g.now.Add(delay), host: host, ev: ev})
+}
+
+// run advances virtual time in steps of one millisecond.
+func (g *group) run(d time.Duration) {
+	for end := g.now.Add(d); g.now < end; {
+		g.now = g.now.Add(delay)
+		for len(g.queue) > 0 && g.queue[0].at <= g.now {
+			next := g.queue[0]
+			g.queue = g.queue[1:]
+			g.step(next.host, next.ev)
+		}
+		if g.now%mesh.Time(TickInterval) == 0 {
+			for _, h := range g.hosts {
+				g.step(h, Event{Kind: KindTick})
+			}
+		}
+	}
+}
+
+func (g *group) announce(host string, version mesh.BackendVersion) {
+	g.step(host, Event{Kind: KindAnnounced, Announcement: &Announcement{
+		Instance: mesh.InstanceID(host + "-" + string(version)), Service: "stock", Version: version, Addr: host + ":1",
+		Slots: 9, LeaseMillis: 600_000,
+	}})
+}
+
+const testConfig = `
+[[failure_domains]]
+name = "ifrane"
+[[failure_domains]]
+name = "azrou"
+[[services]]
+name = "stock"
+[[classes]]
+name = "lookup"
+priority = "normal"
+idempotent = true
+deadline_ms = 500
+target_latency_ms = 100
+target_success_share = 0.99
+retry_budget_share = 0.1
+[[classes]]
+name = "order"
+priority = "critical"
+idempotent = false
+deadline_ms = 500
+target_latency_ms = 100
+target_success_share = 0.99
+retry_budget_share = 0.1
+[[routes]]
+name = "stock"
+method = "GET"
+path_prefix = "/stock"
+service = "stock"
+class = "lookup"
+[[routes]]
+name = "orders"
+method = "POST"
+path_prefix = "/orders"
+service = "stock"
+class = "order"
+`
+
+// apply publishes testConfig through a host and waits until it is in force.
+func (g *group) apply(host string, base mesh.ConfigVersion, operation string) OperatorReply {
+	g.t.Helper()
+	snapshot, err := config.ParseTOML("test.toml", []byte(testConfig))
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	encoded, err := config.Encode(snapshot)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	id := uint64(1000 + len(g.replies))
+	g.step(host, Event{Kind: KindOperator, Operator: &OperatorRequest{ID: id, Apply: &ApplyRequest{
+		Operation: publish.OperationID(operation), Operator: "amina", Base: base, Snapshot: encoded,
+	}}})
+	g.run(4 * time.Second)
+	return g.replies[id]
+}
+
+// lookup sends an idempotent call and returns its result.
+func (g *group) lookup(host string, id mesh.CallID) CallEffect {
+	g.step(host, Event{Kind: KindCallArrived, Call: CallArrived{Call: id, Method: []byte("GET"), Path: []byte("/stock/7")}})
+	g.run(time.Second)
+	return g.results[id]
+}
+
+// order sends a non-idempotent call with an identity.
+func (g *group) order(host string, id mesh.CallID, identity string) CallEffect {
+	g.step(host, Event{Kind: KindCallArrived, Call: CallArrived{
+		Call: id, Method: []byte("POST"), Path: []byte("/orders"), RequestID: []byte(identity),
+	}})
+	g.run(time.Second)
+	return g.results[id]
+}
+
+// identity returns a request identity created now.
+func (g *group) identity(domain string) string {
+	var u uuid.UUID
+	ms := uint64(int64(g.now) / int64(time.Millisecond))
+	for i := range 6 {
+		u[i] = byte(ms >> (40 - 8*i))
+	}
+	u[6], u[8], u[15] = 0x70, 0x80, byte(g.seed)
+	return domain + "." + u.String()
+}
