Bound the nesting of TOML documents

A trial with one dotted key of two million parts took all memory: the tree holds the path of each table, so its size grows with the square of the nesting.

The reader refuses more than 16 levels before it decodes, the document limit is 2 MiB, and recorded faults are found by key without a scan.

--- a/internal/tomldoc/build.go
+++ b/internal/tomldoc/build.go
@@ -7,6 +7,17 @@
 	"github.com/pelletier/go-toml/v2/unstable"
 )
 
+// maxDepth bounds the nesting of tables and arrays. The tree holds the path of
+// each table, so its size grows with the square of the depth.
+const maxDepth = 16
+
+// depthError reports a value that is nested too deeply.
+type depthError struct{ line int }
+
+func (e depthError) Error() string {
+	return fmt.Sprintf("tables and arrays are nested more than %d levels deep", maxDepth)
+}
+
 // builder turns the parser's expressions into a tree of tables and values.
 type builder struct {
 	parser unstable.Parser
@@ -55,6 +66,9 @@
 	table := b.doc.root
 	for key.Next() {
 		name, line := string(key.Node().Data), b.line(key.Node())
+		if table.depth >= maxDepth {
+			return nil, depthError{line}
+		}
 		var err error
 		if array && key.IsLast() {
 			table, err = table.appendTable(name, line)
@@ -72,8 +86,11 @@
 	key := node.Key()
 	for key.Next() {
 		name, line := string(key.Node().Data), b.line(key.Node())
+		if table.depth >= maxDepth {
+			return depthError{line}
+		}
 		if key.IsLast() {
-			value, err := b.value(node.Value(), table.join(name), line)
+			value, err := b.value(node.Value(), place{table.join(name), line, table.depth + 1})
 			if err != nil {
 				return err
 			}
@@ -88,13 +105,20 @@
 	return nil
 }
 
-func (b *builder) value(node *unstable.Node, path string, line int) (*value, error) {
-	v := &value{kind: node.Kind, line: line}
+// place is where a value stands in the document.
+type place struct {
+	path  string
+	line  int
+	depth int
+}
+
+func (b *builder) value(node *unstable.Node, at place) (*value, error) {
+	v := &value{kind: node.Kind, line: at.line}
 	switch node.Kind {
 	case unstable.Array:
-		return v, b.items(v, node, path)
+		return v, b.items(v, node, at)
 	case unstable.InlineTable:
-		v.kind, v.table = unstable.Table, newTable(b.doc, path, line)
+		v.kind, v.table = unstable.Table, newTable(b.doc, at)
 		return v, b.fields(v.table, node)
 	default:
 		v.text = string(node.Data)
@@ -102,13 +126,17 @@
 	}
 }
 
-func (b *builder) items(v *value, node *unstable.Node, path string) error {
+func (b *builder) items(v *value, node *unstable.Node, at place) error {
+	if at.depth >= maxDepth {
+		return depthError{at.line}
+	}
 	children := node.Children()
 	for children.Next() {
 		if children.Node().Kind == unstable.Comment {
 			continue
 		}
-		item, err := b.value(children.Node(), fmt.Sprintf("%s[%d]", path, len(v.items)), v.line)
+		inner := place{fmt.Sprintf("%s[%d]", at.path, len(v.items)), at.line, at.depth + 1}
+		item, err := b.value(children.Node(), inner)
 		if err != nil {
 			return err
 		}
--- a/internal/tomldoc/document.go
+++ b/internal/tomldoc/document.go
@@ -17,13 +17,15 @@
 )
 
 // MaxBytes is the largest document that is read, in bytes.
-const MaxBytes = 4 << 20
+const MaxBytes = 2 << 20
 
 // Document is a parsed TOML document and the faults found in it so far.
 type Document struct {
 	file   string
 	root   *Table
 	faults Faults
+	// faulty holds the keys of faults.
+	faulty map[string]bool
 }
 
 // Parse reads a document. The error is of type Faults and holds the first
@@ -33,13 +35,17 @@
 		reason := fmt.Sprintf("document has %d bytes, the limit is %d", len(data), MaxBytes)
 		return nil, Faults{{File: file, Reason: reason}}
 	}
+	doc := &Document{file: file, faulty: map[string]bool{}}
+	doc.root = newTable(doc, place{line: 1})
+	buildErr := doc.build(data)
+	if deep := (depthError{}); errors.As(buildErr, &deep) {
+		return nil, Faults{{File: file, Line: deep.line, Reason: deep.Error()}}
+	}
 	if err := checkSyntax(file, data); err != nil {
 		return nil, err
 	}
-	doc := &Document{file: file}
-	doc.root = newTable(doc, "", 1)
-	if err := doc.build(data); err != nil {
-		return nil, Faults{{File: file, Reason: err.Error()}}
+	if buildErr != nil {
+		return nil, Faults{{File: file, Reason: buildErr.Error()}}
 	}
 	return doc, nil
 }
@@ -64,11 +70,16 @@
 // Add records a fault at the line of key, or at the line of the innermost
 // table on the way to it if the key itself is absent.
 func (d *Document) Add(key, reason string) {
-	d.faults = append(d.faults, Fault{File: d.file, Line: d.root.lineOf(key), Key: key, Reason: reason})
+	d.add(d.root.lineOf(key), key, reason)
+}
+
+func (d *Document) add(line int, key, reason string) {
+	d.faults = append(d.faults, Fault{File: d.file, Line: line, Key: key, Reason: reason})
+	d.faulty[key] = true
 }
 
 // HasFault reports whether a fault of key has been recorded.
-func (d *Document) HasFault(key string) bool { return d.faults.Has(key) }
+func (d *Document) HasFault(key string) bool { return d.faulty[key] }
 
 // Finish reports the keys that were never read and returns all faults in the
 // order of their lines.
--- a/internal/tomldoc/fault.go
+++ b/internal/tomldoc/fault.go
@@ -54,13 +54,3 @@
 	}
 	return f
 }
-
-// Has reports whether a fault of key is listed.
-func (f Faults) Has(key string) bool {
-	for _, fault := range f {
-		if fault.Key == key {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/tomldoc/get.go
+++ b/internal/tomldoc/get.go
@@ -131,7 +131,7 @@
 func (t *Table) Table(name string) *Table {
 	v := t.get(name, unstable.Table, "a table")
 	if v == nil {
-		return newTable(t.doc, t.join(name), t.line)
+		return newTable(t.doc, place{t.join(name), t.line, t.depth + 1})
 	}
 	return v.table
 }
--- a/internal/tomldoc/table.go
+++ b/internal/tomldoc/table.go
@@ -19,14 +19,16 @@
 
 // Table is one table of a document.
 type Table struct {
-	doc    *Document
-	path   string
-	line   int
+	doc  *Document
+	path string
+	line int
+	// depth counts the tables and arrays around this one.
+	depth  int
 	values map[string]*value
 }
 
-func newTable(doc *Document, path string, line int) *Table {
-	return &Table{doc: doc, path: path, line: line, values: map[string]*value{}}
+func newTable(doc *Document, at place) *Table {
+	return &Table{doc: doc, path: at.path, line: at.line, depth: at.depth, values: map[string]*value{}}
 }
 
 // Key returns the path of a key of t.
@@ -43,7 +45,7 @@
 func (t *Table) Has(name string) bool { return t.values[name] != nil }
 
 // HasFault reports whether a fault of a key of t has been recorded.
-func (t *Table) HasFault(name string) bool { return t.doc.faults.Has(t.join(name)) }
+func (t *Table) HasFault(name string) bool { return t.doc.faulty[t.join(name)] }
 
 // Addf records a fault of a key of t.
 func (t *Table) Addf(name, format string, args ...any) {
@@ -51,8 +53,7 @@
 	if v := t.values[name]; v != nil {
 		line = v.line
 	}
-	fault := Fault{File: t.doc.file, Line: line, Key: t.join(name), Reason: fmt.Sprintf(format, args...)}
-	t.doc.faults = append(t.doc.faults, fault)
+	t.doc.add(line, t.join(name), fmt.Sprintf(format, args...))
 }
 
 // Require records a fault for each name that t lacks.
@@ -69,7 +70,7 @@
 func (t *Table) openTable(name string, line int) (*Table, error) {
 	v := t.values[name]
 	if v == nil {
-		v = &value{kind: unstable.Table, line: line, table: newTable(t.doc, t.join(name), line)}
+		v = &value{kind: unstable.Table, line: line, table: newTable(t.doc, place{t.join(name), line, t.depth + 1})}
 		t.values[name] = v
 	}
 	if v.kind == unstable.Array && len(v.items) > 0 {
@@ -90,7 +91,7 @@
 	if v.kind != unstable.Array {
 		return nil, fmt.Errorf("line %d: %s is not an array of tables", line, t.join(name))
 	}
-	table := newTable(t.doc, fmt.Sprintf("%s[%d]", t.join(name), len(v.items)), line)
+	table := newTable(t.doc, place{fmt.Sprintf("%s[%d]", t.join(name), len(v.items)), line, t.depth + 1})
 	v.items = append(v.items, &value{kind: unstable.Table, line: line, table: table})
 	return table, nil
 }
--- a/internal/tomldoc/tomldoc_test.go
+++ b/internal/tomldoc/tomldoc_test.go
@@ -1,6 +1,7 @@
 package tomldoc
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -74,6 +75,25 @@
 	}
 }
 
+// Guards against a small document that takes memory by the square of its
+// nesting.
+func TestDeepNestingIsRefused(t *testing.T) {
+	const levels = 50_000
+	for _, text := range []string{
+		"a = " + strings.Repeat("[", levels) + strings.Repeat("]", levels),
+		"a = " + strings.Repeat("{a=", levels) + "1" + strings.Repeat("}", levels),
+		strings.Repeat("a.", levels) + "a = 1",
+		"[" + strings.Repeat("a.", levels) + "a]\n",
+		strings.Repeat("[[a]]\n", 3) + "[[" + strings.Repeat("a.", maxDepth) + "a]]\n",
+	} {
+		is := is.New(t)
+		_, err := Parse("s.toml", []byte(text))
+		faults, ok := err.(Faults)
+		is.True(ok)
+		is.True(strings.Contains(faults[0].Reason, "nested more than"))
+	}
+}
+
 // Guards against a crash on malformed input.
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(sample))
