--- a/internal/platform/client/client_test.go
+++ b/internal/platform/client/client_test.go
@@ -28,7 +28,7 @@
 }
 
 // start serves a stand-in on loopback until the test ends.
-func start(t *testing.T) (*standin.Server, *Client) {
+func start(t testing.TB) (*standin.Server, *Client) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -225,3 +225,15 @@
 	is.True(errorx.IsOfType(err, Refused))
 	is.Equal(res.Status, platform.Invalid)
 }
+
+// Measures one transaction over loopback.
+func BenchmarkCommit(b *testing.B) {
+	_, c := start(b)
+	revision := platform.Revision(0)
+	for b.Loop() {
+		if res, err := c.Do(commitOf("t", "a", "1", revision)); err != nil || res.Status != platform.OK {
+			b.Fatal(res.Status, err)
+		}
+		revision++
+	}
+}
