--- /dev/null
+++ b/internal/telemetry/telemetry_test.go
@@ -0,0 +1,68 @@
+package telemetry
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicoryscale/chicoryscale/internal/connpool"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+func scrape(t *testing.T, e *Exporter) string {
+	t.Helper()
+	var ctx fasthttp.RequestCtx
+	ctx.Request.SetRequestURI("/metrics")
+	e.Handler()(&ctx)
+	if ctx.Response.StatusCode() != fasthttp.StatusOK {
+		t.Fatalf("status %d: %s", ctx.Response.StatusCode(), ctx.Response.Body())
+	}
+	return string(ctx.Response.Body())
+}
+
+// Guards against counters that are not exported, or under another label, and
+// against a documentation table that lacks a metric.
+func TestScrapeAndDocumentation(t *testing.T) {
+	is := is.New(t)
+	m := new(Metrics)
+	m.CallDone(mesh.NotRun, mesh.ReasonOverload)
+	m.CallDone(200, 200) // out of range: counted, no panic
+	m.GateDone(3)
+	m.ControlBytes(Sent, CauseDeliver, 42)
+	e, err := NewExporter(m, map[string]*connpool.Counters{"peer": {}})
+	is.NoErr(err)
+	defer func() { is.NoErr(e.Close(context.Background())) }()
+	text := scrape(t, e)
+	for _, line := range []string{
+		`chicory_calls_total{outcome="not-run",reason="overload"} 1`,
+		`chicory_gate_calls_total{result="lost"} 1`,
+		`chicory_control_bytes_total{cause="deliver",direction="sent"} 42`,
+	} {
+		is.True(strings.Contains(text, line)) // exported line
+	}
+	doc, err := os.ReadFile("../../docs/operators/metrics.md")
+	is.NoErr(err)
+	for _, match := range regexp.MustCompile(`(?m)^# TYPE (\S+)`).FindAllStringSubmatch(text, -1) {
+		if !bytes.Contains(doc, []byte("`"+match[1]+"`")) {
+			t.Errorf("%s is not documented", match[1])
+		}
+	}
+}
+
+// Guards against log lines that cannot be traced to a node.
+func TestLoggerNamesNode(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := NewLogger(&out, slog.LevelInfo, "ifrane-1", "ifrane")
+	log.Info("draining")
+	log.Debug("hidden")
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+	is.True(strings.Contains(out.String(), `"node":"ifrane-1","domain":"ifrane"`))
+}
