--- /dev/null
+++ b/internal/nodeproc/nodeproc.go
@@ -0,0 +1,94 @@
+// Package nodeproc assembles the node process from its settings: the reducer,
+// the runtime, the platform client and the metrics endpoint.
+package nodeproc
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicoryscale/chicoryscale/internal/connpool"
+	"github.com/chicoryscale/chicoryscale/internal/core"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+	"github.com/chicoryscale/chicoryscale/internal/platform/client"
+	"github.com/chicoryscale/chicoryscale/internal/runtime"
+	"github.com/chicoryscale/chicoryscale/internal/settings"
+	"github.com/chicoryscale/chicoryscale/internal/telemetry"
+)
+
+// Run runs a node until ctx ends, then stops it gracefully.
+func Run(ctx context.Context, s *settings.Node, log *slog.Logger) error {
+	log = log.With("host", string(s.Host), "failure_domain", string(s.FailureDomain))
+	store := client.New(client.Settings{
+		TableAddr: s.Platform.Table, ObjectAddr: s.Platform.Objects, Timeout: s.Platform.Timeout, MaxConns: s.Platform.Connections,
+	})
+	defer store.Close()
+	reducer := core.New(core.Settings{
+		Host: s.Host, Domain: s.FailureDomain, ControlAddr: s.Addresses.Control, PeerAddr: s.Addresses.Peers,
+		Started: mesh.Time(time.Now().UnixNano()), Seeds: s.Seeds,
+	})
+	opts := options(s, log)
+	node, err := runtime.New(opts, reducer, platformClient{store, log})
+	if err != nil {
+		return err
+	}
+	stopMetrics, err := serveMetrics(s.Addresses.Metrics, opts.Metrics, node)
+	if err != nil {
+		return err
+	}
+	defer stopMetrics()
+	log.Info("serving", "calls", s.Addresses.Calls, "peers", s.Addresses.Peers, "control", s.Addresses.Control)
+	return node.Run(ctx)
+}
+
+func options(s *settings.Node, log *slog.Logger) runtime.Options {
+	opts := runtime.DefaultOptions()
+	opts.Host = s.Host
+	opts.CallAddr, opts.PeerAddr, opts.ControlAddr = s.Addresses.Calls, s.Addresses.Peers, s.Addresses.Control
+	opts.MaxBodyBytes = s.Limits.BodyBytes
+	opts.GracePeriod = s.Limits.DrainGrace
+	opts.TimelineEntries = s.Limits.TimelineEvents
+	opts.PlatformTimeout = s.Platform.Timeout
+	opts.Backends.MaxConns = s.Limits.ConnectionsPerInstance
+	opts.Log = log
+	return opts
+}
+
+// platformClient adapts the platform client to the runtime. An error of the
+// client always comes with a result whose status says what is known.
+type platformClient struct {
+	client *client.Client
+	log    *slog.Logger
+}
+
+// Do implements runtime.Platform.
+func (p platformClient) Do(_ context.Context, req platform.Request) platform.Result {
+	res, err := p.client.Do(&req)
+	if err != nil {
+		p.log.Debug("platform request failed", "error", err)
+	}
+	return res
+}
+
+// serveMetrics serves the scrape endpoint and returns the function that stops it.
+func serveMetrics(addr string, m *telemetry.Metrics, node *runtime.Node) (func(), error) {
+	peers, backends := node.ConnCounters()
+	exporter, err := telemetry.NewExporter(m, map[string]*connpool.Counters{"peers": peers, "backends": backends})
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	server := &fasthttp.Server{Handler: exporter.Handler(), Name: "chicory-node", NoDefaultServerHeader: true}
+	go func() { _ = server.Serve(listener) }() // ends with Shutdown
+	return func() {
+		_ = server.Shutdown()
+		_ = exporter.Close(context.Background())
+	}, nil
+}
