Make the drain test independent of time and dial IPv6 addresses

The drain test relied on a call that runs for 400 ms, which a busy machine may not grant. Settings accept IPv6 addresses, but the HTTP clients dialled IPv4 only.

The test now ends its call when the checks are done, and checks the same outcomes as before. Names that shadowed built-ins in package config are replaced.

--- a/internal/backend/announce.go
+++ b/internal/backend/announce.go
@@ -39,7 +39,7 @@
 
 func newAnnouncer(s *settings.Backend, log *slog.Logger, slots *slots) *announcer {
 	return &announcer{settings: s, log: log, slots: slots,
-		http: fasthttp.HostClient{Addr: s.Node, MaxConns: 2, NoDefaultUserAgentHeader: true}}
+		http: fasthttp.HostClient{Addr: s.Node, DialDualStack: true, MaxConns: 2, NoDefaultUserAgentHeader: true}}
 }
 
 // run announces at every interval, and at once when draining is closed, until
--- a/internal/backend/helpers_test.go
+++ b/internal/backend/helpers_test.go
@@ -57,10 +57,12 @@
 
 // running is a backend server under test.
 type running struct {
-	addr    string
-	server  *Server
-	stop    context.CancelFunc
-	done    chan error
+	addr   string
+	server *Server
+	stop   context.CancelFunc
+	done   chan error
+	// crashes receives the calls of Crash. If it is full, the call waits, so a
+	// test decides when a request with the marker ends.
 	crashes chan struct{}
 	node    chan core.Announcement
 }
@@ -70,7 +72,7 @@
 func start(t *testing.T, change func(*settings.Backend)) *running {
 	t.Helper()
 	ln := listen(t)
-	r := &running{addr: ln.Addr().String(), done: make(chan error, 1), crashes: make(chan struct{}, 10)}
+	r := &running{addr: ln.Addr().String(), done: make(chan error, 1), crashes: make(chan struct{}, 1)}
 	s := &settings.Backend{
 		Instance: "i1", Service: "depot", Version: "2.0", Address: r.addr, Slots: 1,
 		AnnounceInterval: 20 * time.Millisecond, Lease: time.Second, DrainGrace: testTimeout, BodyBytes: 1 << 16,
@@ -118,9 +120,9 @@
 }
 
 // callInBackground sends a request whose answer arrives later.
-func (r *running) callInBackground(path string, headers ...string) chan answer {
+func (r *running) callInBackground(path, body string) chan answer {
 	answers := make(chan answer, 1)
-	go func() { answers <- r.call("GET", path, "", headers...) }()
+	go func() { answers <- r.call("POST", path, body) }()
 	return answers
 }
 
--- a/internal/backend/server_test.go
+++ b/internal/backend/server_test.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -114,14 +113,16 @@
 // (guarantees G8 and G9).
 func TestStopFinishesCallsInProgress(t *testing.T) {
 	is := is.New(t)
-	r := start(t, func(s *settings.Backend) { s.ServiceTime.Mean = 400 * time.Millisecond })
-	inProgress := r.callInBackground("/a")
+	r := start(t, func(s *settings.Backend) { s.CrashMarker = "wait" })
+	r.crashes <- struct{}{}
+	inProgress := r.callInBackground("/a", "wait")
 	r.until(t, func() bool { return r.server.slots.current().InUse == 1 })
 	r.stop()
 	for !(<-r.node).Draining {
 	}
 	got := r.call("GET", "/b", "")
 	is.Equal([]any{got.status, got.outcome, got.reason}, []any{503, "not-run", "draining"})
+	<-r.crashes
 	finished := <-inProgress
 	is.NoErr(finished.err)
 	is.Equal(finished.status, 200)
--- a/internal/config/diff.go
+++ b/internal/config/diff.go
@@ -68,15 +68,15 @@
 }
 
 // diffFields compares the fields of one resource. Either list may be empty.
-func diffFields(old, new []field) []FieldChange {
+func diffFields(before, after []field) []FieldChange {
 	var changes []FieldChange
-	for i := range max(len(old), len(new)) {
+	for i := range max(len(before), len(after)) {
 		var c FieldChange
-		if i < len(old) {
-			c.Field, c.Old = old[i].name, old[i].value
+		if i < len(before) {
+			c.Field, c.Old = before[i].name, before[i].value
 		}
-		if i < len(new) {
-			c.Field, c.New = new[i].name, new[i].value
+		if i < len(after) {
+			c.Field, c.New = after[i].name, after[i].value
 		}
 		if c.Old != c.New {
 			changes = append(changes, c)
--- a/internal/config/index.go
+++ b/internal/config/index.go
@@ -77,23 +77,23 @@
 // pick returns the route of one prefix for a method. It reports whether any
 // route fits; the route is nil if several fit equally well.
 func pick(routes []*ResolvedRoute, method []byte) (r *ResolvedRoute, fits bool) {
-	var exact, any *ResolvedRoute
-	exacts, anys := 0, 0
+	var exact, general *ResolvedRoute
+	exacts, generals := 0, 0
 	for _, candidate := range routes {
 		switch candidate.Route.Method {
 		case string(method):
 			exact, exacts = candidate, exacts+1
 		case "":
-			any, anys = candidate, anys+1
+			general, generals = candidate, generals+1
 		}
 	}
 	switch {
 	case exacts == 1:
 		return exact, true
-	case exacts == 0 && anys == 1:
-		return any, true
+	case exacts == 0 && generals == 1:
+		return general, true
 	default:
-		return nil, exacts+anys > 0
+		return nil, exacts+generals > 0
 	}
 }
 
--- a/internal/platform/client/client.go
+++ b/internal/platform/client/client.go
@@ -52,6 +52,7 @@
 func newHostClient(addr string, settings *Settings) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                     addr,
+		DialDualStack:            true, // addresses may be IPv6
 		MaxConns:                 settings.MaxConns,
 		MaxIdleConnDuration:      maxIdle,
 		MaxConnWaitTimeout:       settings.Timeout,
