Relay remote records along siblings and bound the return of many nodes

Cause: at the simultaneous start of 650 nodes a node sent up to 20 KB/s over 10 s. Acknowledgements of all failure domains changed every 100 ms and went to random readers too, inner nodes sent each record 6 times, readers served the full content to all members, and outboxes were lost when the tree changed. Change: acknowledgements change at most once a second and go over links only; records of other failure domains pass from sibling to sibling; content after a relayed fresh head comes from the parent; the local failure domain is compared alone after 1 s; budgets are 3.5 KB/s for records and 1.5 KB/s for content.

--- a/internal/distribution/acks.go
+++ b/internal/distribution/acks.go
@@ -14,6 +14,9 @@
 	MaxMissing = 16
 	// ackLife is the time for which a child's acknowledgement counts.
 	ackLife = 5 * time.Second
+	// domainAckInterval is the shortest time between two changes of a failure
+	// domain's acknowledgement, each of which travels to all other readers.
+	domainAckInterval = time.Second
 )
 
 // subtreeAck returns the acknowledgement of this node and its children's
@@ -87,9 +90,12 @@
 	if _, ok := r.topology.Parent(); ok || !r.topology.IsReader() {
 		return
 	}
+	old, ok := r.domainAcks[r.settings.Domain]
+	if ok && now.Sub(old.Stamp) < domainAckInterval {
+		return
+	}
 	next := DomainAck{Domain: r.settings.Domain, Ack: r.subtreeAck(now), Aggregates: r.subtreeAggregates(now)}
 	next.Ack.Total = uint32(r.topology.LiveCount(r.settings.Domain))
-	old, ok := r.domainAcks[next.Domain]
 	if ok && old.Ack.equal(&next.Ack) && slices.EqualFunc(old.Aggregates, next.Aggregates, Aggregate.equal) {
 		return
 	}
--- a/internal/distribution/encoding.go
+++ b/internal/distribution/encoding.go
@@ -244,7 +244,11 @@
 	w.Uint(uint64(a.Version))
 	w.Uint(uint64(a.InForce))
 	w.Uint(uint64(a.Total))
-	writeList(w, a.Missing, func(h mesh.HostID) { w.String(string(h)) })
+	prev := mesh.HostID("")
+	writeList(w, a.Missing, func(h mesh.HostID) {
+		w.Prefixed(string(prev), string(h))
+		prev = h
+	})
 	if a.Rejection != nil {
 		w.Uint(uint64(a.Rejection.Version))
 		w.Uint(uint64(a.Rejection.Hosts))
@@ -258,7 +262,11 @@
 	parts := r.Byte()
 	a := Ack{Version: readVersion(r), InForce: uint32(r.Uint(maxHosts)), Total: uint32(r.Uint(maxHosts))}
 	if parts&partMissing != 0 {
-		a.Missing = readList(r, func() mesh.HostID { return mesh.HostID(r.String(maxNameBytes)) })
+		prev := ""
+		a.Missing = readList(r, func() mesh.HostID {
+			prev = r.Prefixed(prev, maxNameBytes)
+			return mesh.HostID(prev)
+		})
 	}
 	if parts&partRejection != 0 {
 		a.Rejection = &Rejection{
--- a/internal/distribution/floor.go
+++ b/internal/distribution/floor.go
@@ -113,6 +113,12 @@
 		return
 	}
 	r.setFloor(m.Head, out)
-	r.learn(now, from, m.Head, out)
+	// All nodes that start together ask the readers for the head. The content
+	// comes from the parent, so that the readers serve their children only.
+	source := from
+	if parent, ok := r.topology.Parent(); ok {
+		source = parent
+	}
+	r.learn(now, source, m.Head, out)
 	r.apply(out)
 }
--- a/internal/distribution/push.go
+++ b/internal/distribution/push.go
@@ -10,8 +10,8 @@
 const (
 	// fullBytesPerSecond and fullBurstBytes limit the full content that a node
 	// serves. The burst serves all children of an inner node at once.
-	fullBytesPerSecond = 3000
-	fullBurstBytes     = 40000
+	fullBytesPerSecond = 1500
+	fullBurstBytes     = 28000
 	// maxServeQueue bounds the peers that wait for full content.
 	maxServeQueue = 256
 )
@@ -24,7 +24,9 @@
 			continue
 		}
 		push, ok := r.deltaFor(held, r.heldBy(host))
-		if !ok {
+		if ok {
+			r.serve.drop(host)
+		} else {
 			push = &Push{Head: held.head}
 		}
 		r.send(host, Message{Push: push}, out)
@@ -98,6 +100,11 @@
 	filled   mesh.Time
 }
 
+// drop removes the request of a peer.
+func (q *serveQueue) drop(host mesh.HostID) {
+	q.requests = slices.DeleteFunc(q.requests, func(w request) bool { return w.host == host })
+}
+
 // acceptPull answers with a delta at once, or queues the full content. A
 // request for a version that is itself being fetched waits for its arrival.
 func (r *Reducer) acceptPull(now mesh.Time, from mesh.HostID, m *Pull, out *Output) {
@@ -112,7 +119,7 @@
 		}
 	}
 	q := &r.serve
-	q.requests = slices.DeleteFunc(q.requests, func(w request) bool { return w.host == from })
+	q.drop(from)
 	if len(q.requests) < maxServeQueue {
 		q.requests = append(q.requests, request{host: from, want: m.Want})
 	}
--- a/internal/distribution/random_test.go
+++ b/internal/distribution/random_test.go
@@ -119,8 +119,8 @@
 		if lagging := r.lagging(r.head.Version); len(lagging) > 0 {
 			t.Fatalf("%s is not in force on %v", r.head.Version, lagging)
 		}
-		if incomplete := r.incomplete(); len(incomplete) > 0 {
-			t.Fatalf("%v do not know the running hosts", incomplete)
+		if host := r.incomplete(); host != "" {
+			t.Fatalf("%s does not know exactly the running hosts", host)
 		}
 	})
 }
--- a/internal/distribution/scale_test.go
+++ b/internal/distribution/scale_test.go
@@ -36,17 +36,24 @@
 	// start of the nodes, to the last apply.
 	ConvergenceMs float64 `json:"convergence_ms"`
 	// MembersMs is the time until every node knows exactly the running nodes.
-	MembersMs     float64 `json:"members_ms,omitempty"`
-	PeakReads     int     `json:"platform_reads_per_s_peak"`
-	HeapPerNodeMB float64 `json:"heap_per_node_mb,omitempty"`
+	MembersMs float64 `json:"members_ms,omitempty"`
+	PeakReads int     `json:"platform_reads_per_s_peak"`
 	usage
 }
 
+// heapResult is the memory of a size's reducers with their simulation.
+type heapResult struct {
+	Nodes         int     `json:"nodes"`
+	HeapPerNodeMB float64 `json:"heap_per_node_mb"`
+}
+
 type scaleRun struct {
 	*sim
 	meter   *meter
 	lines   []string
 	results []phaseResult
+	nodes   int
+	heap    float64
 	waiting int
 	last    mesh.Time
 }
@@ -65,9 +72,7 @@
 		group.Wait()
 		measureHeap(runs)
 		for _, run := range runs {
-			for _, result := range run.results {
-				printJSON(result)
-			}
+			printJSON(heapResult{Nodes: run.nodes, HeapPerNodeMB: run.heap})
 		}
 		printSlopes(runs)
 	}
@@ -95,13 +100,9 @@
 		return float64(stats.HeapAlloc)
 	}
 	for _, run := range runs {
-		nodes := float64(len(run.hosts))
 		before := heap()
 		run.sim, run.meter = nil, nil
-		perNode := (before - heap()) / nodes / (1 << 20)
-		for i := range run.results {
-			run.results[i].HeapPerNodeMB = round(perNode)
-		}
+		run.heap = round((before - heap()) / float64(run.nodes) / (1 << 20))
 	}
 }
 
@@ -114,7 +115,7 @@
 }
 
 func runScale(nodes int) *scaleRun {
-	r := &scaleRun{sim: newSim(uint64(nodes)), meter: newMeter()}
+	r := &scaleRun{sim: newSim(uint64(nodes)), meter: newMeter(), nodes: nodes}
 	for i := range scaleDomains {
 		count := nodes / scaleDomains
 		if i < nodes%scaleDomains {
@@ -170,6 +171,7 @@
 		result.PeakReads = max(result.PeakReads, n)
 	}
 	r.results = append(r.results, result)
+	printJSON(result)
 }
 
 // changes publishes a change of 300 bytes several times and returns the
@@ -218,7 +220,7 @@
 	}
 	for members == 0 && r.now.Sub(begin) < scaleLimit {
 		r.run(time.Second)
-		if r.waiting == 0 && len(r.incomplete()) == 0 {
+		if r.waiting == 0 && r.incomplete() == "" {
 			members = r.now.Sub(begin)
 		}
 	}
--- a/internal/distribution/session_test.go
+++ b/internal/distribution/session_test.go
@@ -223,7 +223,7 @@
 		s.run(8 * time.Second)
 	})
 	is.Equal(len(s.lagging(2)), 0) // azrou learns from its neighbour without the platform
-	is.Equal(len(s.incomplete()), 0)
+	is.Equal(s.incomplete(), mesh.HostID(""))
 	is.True(!s.hosts[0].mem.Unreachable("azrou"))
 	is.Equal(*v, violations{})
 }
@@ -247,7 +247,7 @@
 		s.resume(h)
 		s.run(6 * time.Second)
 	})
-	is.Equal(len(s.incomplete()), 0)
+	is.Equal(s.incomplete(), mesh.HostID(""))
 	is.True(other.mem.Member(h.id).Incarnation > stale.Incarnation)
 }
 
--- a/internal/distribution/sim_test.go
+++ b/internal/distribution/sim_test.go
@@ -524,21 +524,18 @@
 	return hosts
 }
 
-// incomplete returns the hosts that run and do not know exactly the running
-// hosts as live.
-func (s *sim) incomplete() []mesh.HostID {
-	var hosts []mesh.HostID
+// incomplete returns a host that runs and does not know exactly the running
+// hosts as alive, or an empty name.
+func (s *sim) incomplete() mesh.HostID {
 	for _, h := range s.hosts {
 		for _, other := range s.hosts {
-			rec := h.mem
 			if !h.up {
 				break
 			}
-			if m := rec.Member(other.id); (m != nil && m.State == membership.Alive) != other.up {
-				hosts = append(hosts, h.id)
-				break
+			if m := h.mem.Member(other.id); (m != nil && m.State == membership.Alive) != other.up {
+				return h.id
 			}
 		}
 	}
-	return hosts
+	return ""
 }
--- a/internal/distribution/status.go
+++ b/internal/distribution/status.go
@@ -81,7 +81,7 @@
 	parent, hasParent := r.topology.Parent()
 	toParent := hasParent && host == parent
 	toChild := slices.Contains(r.topology.Children(), host)
-	readers := r.topology.IsReader() && r.isReader(host)
+	readers := r.topology.IsReader() && r.isReader(host) && slices.Contains(r.topology.Links(), host)
 	if !toParent && !toChild && !readers {
 		return s
 	}
--- a/internal/membership/batch.go
+++ b/internal/membership/batch.go
@@ -75,28 +75,9 @@
 	return 0
 }
 
-// writeString writes the length of the prefix shared with ref and the rest.
-func writeString(w *wire.Writer, ref, s string) {
-	n := 0
-	for n < len(ref) && n < len(s) && n < maxStringBytes && ref[n] == s[n] {
-		n++
-	}
-	w.Byte(byte(n))
-	w.String(s[n:])
-}
+func writeString(w *wire.Writer, ref, s string) { w.Prefixed(ref, s) }
 
-func readString(r *wire.Reader, ref string) string {
-	shared := int(r.Byte())
-	rest := r.String(maxStringBytes)
-	if shared > len(ref) || shared+len(rest) > maxStringBytes {
-		r.Fail("string exceeds its reference or %d bytes", maxStringBytes)
-		return ""
-	}
-	if rest == "" {
-		return ref[:shared]
-	}
-	return ref[:shared] + rest
-}
+func readString(r *wire.Reader, ref string) string { return r.Prefixed(ref, maxStringBytes) }
 
 // readBatch reads records and fails for those without a host, a failure
 // domain or a known state.
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -64,7 +64,6 @@
 func (r *Reducer) dropLink(host mesh.HostID) {
 	if host != "" && !slices.Contains(r.Links(), host) {
 		delete(r.links, host)
-		r.outboxes.drop(host)
 	}
 }
 
--- a/internal/membership/encoding.go
+++ b/internal/membership/encoding.go
@@ -110,6 +110,7 @@
 }
 
 func (s *Repair) write(w *wire.Writer) {
+	w.Byte(flagIf(1, s.Local))
 	w.Uint(uint64(len(s.Digests)))
 	prev := ""
 	for _, d := range s.Digests {
@@ -149,7 +150,7 @@
 }
 
 func readRepair(r *wire.Reader) *Repair {
-	s := &Repair{}
+	s := &Repair{Local: r.Byte() != 0}
 	s.Digests = readList(r, func(prev *DomainDigest) DomainDigest {
 		return DomainDigest{
 			Domain: mesh.FailureDomain(readString(r, string(prev.Domain))),
--- a/internal/membership/encoding_test.go
+++ b/internal/membership/encoding_test.go
@@ -26,6 +26,7 @@
 		{Kind: KindHeartbeat, Digest: 1 << 60, Records: records},
 		{Kind: KindHeartbeatReply, Unreachable: []mesh.FailureDomain{"azrou", "sefrou"}},
 		{Kind: KindRepair, Repair: &Repair{
+			Local:       true,
 			Digests:     []DomainDigest{{Domain: "ifrane", Digest: 5, Count: 2}},
 			Buckets:     []BucketDigests{{Domain: "ifrane", Digests: []uint64{1, 2, 3}}},
 			Summaries:   []BucketSummary{{Domain: "azrou", Bucket: 3, IDs: []RecordID{records[0].ID(), records[1].ID()}}},
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -39,8 +39,10 @@
 // Repair is one step of the comparison of two members' records. The steps are
 // Digests, Buckets, Summaries and Wants; each narrows the difference down.
 type Repair struct {
-	// Digests has one entry for each failure domain of the sender.
+	// Digests has one entry for each failure domain of the sender, or only for
+	// the common one if Local is set.
 	Digests []DomainDigest
+	Local   bool
 	// Buckets has an entry for each failure domain whose digests differ.
 	Buckets []BucketDigests
 	// Summaries lists the sender's records in the buckets that differ.
--- a/internal/membership/outbox.go
+++ b/internal/membership/outbox.go
@@ -10,9 +10,9 @@
 const (
 	// deltaBytesPerSecond bounds the records that a node sends, so that the
 	// return of many hosts keeps the node below its share of 11 KB/s.
-	deltaBytesPerSecond = 6000
+	deltaBytesPerSecond = 3500
 	// deltaBurstBytes is the size of the bucket that the limit fills.
-	deltaBurstBytes = 3000
+	deltaBurstBytes = 2000
 	// recordBytes and backendBytes estimate the encoded size of a record in a
 	// batch and of each of its backend servers.
 	recordBytes  = 38
@@ -170,10 +170,15 @@
 	}
 }
 
-// spread queues the record of host for all links except the one it came from.
+// spread queues a new record of host for the peers that are to pass it on,
+// except the one it came from.
 func (r *Reducer) spread(host, source mesh.HostID) {
 	local := r.table.records[host].Domain == r.settings.Domain
-	for _, peer := range r.Links() {
+	peers := r.Links()
+	if !local {
+		peers = r.relayPeers(source)
+	}
+	for _, peer := range peers {
 		if peer != source {
 			r.outboxes.add(peer, host, local)
 		}
--- a/internal/membership/reducer.go
+++ b/internal/membership/reducer.go
@@ -238,9 +238,7 @@
 	if m.Kind == KindHeartbeat {
 		reply.Unreachable = r.unreachableDomains()
 	}
-	if r.repairDue(now, from, m.Digest) {
-		reply.Repair = &Repair{Digests: r.domainDigests()}
-	}
+	reply.Repair = r.offerRepair(now, from, m.Digest)
 	r.send(from, reply, out)
 }
 
--- a/internal/membership/repair.go
+++ b/internal/membership/repair.go
@@ -12,12 +12,15 @@
 	quietPeriod = 1500 * time.Millisecond
 	// mismatchPatience is the time after which a neighbour with a differing
 	// digest is repaired even while other records change.
-	mismatchPatience = 3 * time.Second
+	mismatchPatience = 5 * time.Second
+	// localPatience is the time after which the local failure domain alone is
+	// compared with a neighbour. It has few records, and calls prefer them.
+	localPatience = time.Second
 	// repairInterval bounds the repairs that a node offers.
 	repairInterval = time.Second
 	// wantInterval is the time between two requests for all records of the
 	// same failure domain.
-	wantInterval = 10 * time.Second
+	wantInterval = 5 * time.Second
 	// wantRatio is the ratio of record counts from which all records of a
 	// failure domain are requested without a comparison.
 	wantRatio = 4
@@ -27,7 +30,23 @@
 	maxWants = 256
 )
 
-// repairDue decides whether a differing digest of a peer is worth a repair.
+// offerRepair returns the first step of a repair if a differing digest of a
+// peer is worth it.
+func (r *Reducer) offerRepair(now mesh.Time, from mesh.HostID, digest uint64) *Repair {
+	if r.repairDue(now, from, digest) {
+		return &Repair{Digests: r.domainDigests()}
+	}
+	l := r.links[from]
+	if digest == r.table.digest || l == nil || now.Sub(l.mismatchSince) < localPatience {
+		return nil
+	}
+	if domain, _ := r.DomainOf(from); domain != r.settings.Domain {
+		return nil
+	}
+	return &Repair{Local: true, Digests: []DomainDigest{r.domainDigest(r.settings.Domain)}}
+}
+
+// repairDue decides whether the records of all failure domains are compared.
 func (r *Reducer) repairDue(now mesh.Time, from mesh.HostID, digest uint64) bool {
 	l := r.links[from]
 	if digest == r.table.digest {
@@ -36,14 +55,14 @@
 		}
 		return false
 	}
+	if l != nil && l.mismatchSince == 0 {
+		l.mismatchSince = now
+	}
 	if now < r.nextRepair {
 		return false
 	}
 	due := now.Sub(r.lastChange) >= quietPeriod
 	if l != nil {
-		if l.mismatchSince == 0 {
-			l.mismatchSince = now
-		}
 		due = due || !l.synced || now.Sub(l.mismatchSince) >= mismatchPatience
 	}
 	if box := r.outboxes.boxes[from]; box != nil && !box.empty() {
@@ -62,19 +81,23 @@
 func (r *Reducer) domainDigests() []DomainDigest {
 	digests := make([]DomainDigest, 0, len(r.table.names))
 	for _, name := range r.table.names {
-		d := r.table.domains[name]
-		digests = append(digests, DomainDigest{Domain: name, Digest: d.digest, Count: uint32(len(d.hosts))})
+		digests = append(digests, r.domainDigest(name))
 	}
 	return digests
 }
 
+func (r *Reducer) domainDigest(name mesh.FailureDomain) DomainDigest {
+	d := r.table.domain(name)
+	return DomainDigest{Domain: name, Digest: d.digest, Count: uint32(len(d.hosts))}
+}
+
 // repair handles one step and answers with the next one.
 func (r *Reducer) repair(now mesh.Time, from mesh.HostID, step *Repair, out *Output) {
 	if step == nil {
 		return
 	}
 	var next Repair
-	r.compareDigests(now, from, step.Digests, &next)
+	r.compareDigests(now, from, step, &next, out)
 	r.compareBuckets(step.Buckets, &next)
 	r.compareSummaries(from, step.Summaries, &next)
 	for _, host := range step.Wants {
@@ -108,7 +131,8 @@
 // compareDigests answers the digests of all failure domains with the buckets
 // of those that differ. Where one side has few records of a failure domain,
 // the other sends all of them without a comparison.
-func (r *Reducer) compareDigests(now mesh.Time, from mesh.HostID, theirs []DomainDigest, next *Repair) {
+func (r *Reducer) compareDigests(now mesh.Time, from mesh.HostID, step, next *Repair, out *Output) {
+	theirs := step.Digests
 	listed := make(map[mesh.FailureDomain]bool, len(theirs))
 	for i := range theirs {
 		listed[theirs[i].Domain] = true
@@ -116,7 +140,7 @@
 		switch {
 		case mine.digest == theirs[i].Digest:
 		case len(mine.hosts)*wantRatio <= int(theirs[i].Count):
-			r.wantDomain(now, theirs[i].Domain, next)
+			r.wantDomain(now, theirs[i].Domain, next, out)
 		case int(theirs[i].Count)*wantRatio <= len(mine.hosts):
 			r.queueDomain(from, theirs[i].Domain)
 		default:
@@ -124,17 +148,26 @@
 		}
 	}
 	for _, name := range r.table.names {
-		if len(theirs) > 0 && !listed[name] {
+		if len(theirs) > 0 && !step.Local && !listed[name] {
 			r.queueDomain(from, name)
 		}
 	}
 }
 
-func (r *Reducer) wantDomain(now mesh.Time, domain mesh.FailureDomain, next *Repair) {
-	if now < r.wantedUntil[domain] {
+// wantDomain asks for all records of a failure domain. For another failure
+// domain the first request goes to the predecessor in the order of relayPeers,
+// as the parent would have to serve all its children.
+func (r *Reducer) wantDomain(now mesh.Time, domain mesh.FailureDomain, next *Repair, out *Output) {
+	until, asked := r.wantedUntil[domain]
+	if now < until {
 		return
 	}
 	r.wantedUntil[domain] = now.Add(wantInterval)
+	before, ok := r.predecessor()
+	if ok && !asked && domain != r.settings.Domain {
+		r.send(before, Message{Kind: KindRepair, Repair: &Repair{WantDomains: []mesh.FailureDomain{domain}}}, out)
+		return
+	}
 	next.WantDomains = append(next.WantDomains, domain)
 }
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -19,6 +19,9 @@
 	ErrMalformed = Errors.NewType("malformed")
 )
 
+// maxPrefix is the longest shared prefix that one byte can state.
+const maxPrefix = 255
+
 // Writer appends values to Buf.
 type Writer struct {
 	Buf []byte
@@ -48,6 +51,17 @@
 	w.Buf = append(w.Buf, b...)
 }
 
+// Prefixed appends a string as the length of the prefix shared with ref and
+// the rest. It suits names that follow each other in a list.
+func (w *Writer) Prefixed(ref, s string) {
+	n := 0
+	for n < len(ref) && n < len(s) && n < maxPrefix && ref[n] == s[n] {
+		n++
+	}
+	w.Byte(byte(n))
+	w.String(s[n:])
+}
+
 // Reader reads what a Writer appended. After the first error all reads return
 // zero values.
 type Reader struct {
@@ -134,6 +148,21 @@
 	return append([]byte(nil), data...)
 }
 
+// Prefixed reads a string of at most limit bytes that was written against
+// ref.
+func (r *Reader) Prefixed(ref string, limit int) string {
+	shared := int(r.Byte())
+	rest := r.String(limit)
+	if shared > len(ref) || shared+len(rest) > limit {
+		r.Fail("string exceeds its reference or %d bytes", limit)
+		return ""
+	}
+	if rest == "" {
+		return ref[:shared]
+	}
+	return ref[:shared] + rest
+}
+
 // Raw reads n bytes without a length before them.
 func (r *Reader) Raw(n int) []byte {
 	if n > len(r.data) {
