--- a/internal/distribution/acks.go
+++ b/internal/distribution/acks.go
@@ -14,6 +14,11 @@
 	MaxMissing = 16
 	// ackLife is the time for which a child's acknowledgement counts.
 	ackLife = 5 * time.Second
+	// domainAckInterval is the shortest time between two changes of a failure
+	// domain's acknowledgement, each of which travels to all other readers.
+	// Changes that only concern an incomplete acknowledgement take twice as
+	// long, as they name the missing hosts.
+	domainAckInterval = time.Second
 )
 
 // subtreeAck returns the acknowledgement of this node and its children's
@@ -87,11 +92,17 @@
 	if _, ok := r.topology.Parent(); ok || !r.topology.IsReader() {
 		return
 	}
+	old, ok := r.domainAcks[r.settings.Domain]
+	if ok && now.Sub(old.Stamp) < domainAckInterval {
+		return
+	}
 	next := DomainAck{Domain: r.settings.Domain, Ack: r.subtreeAck(now), Aggregates: r.subtreeAggregates(now)}
 	next.Ack.Total = uint32(r.topology.LiveCount(r.settings.Domain))
-	old, ok := r.domainAcks[next.Domain]
-	if ok && old.Ack.equal(&next.Ack) && slices.EqualFunc(old.Aggregates, next.Aggregates, Aggregate.equal) {
-		return
+	if ok && slices.EqualFunc(old.Aggregates, next.Aggregates, Aggregate.equal) {
+		early := next.Ack.InForce < next.Ack.Total && now.Sub(old.Stamp) < 2*domainAckInterval
+		if early || old.Ack.equal(&next.Ack) {
+			return
+		}
 	}
 	next.Stamp = max(now, old.Stamp+1)
 	r.domainAcks[next.Domain] = next
