--- a/internal/callsim/poison_test.go
+++ b/internal/callsim/poison_test.go
@@ -156,7 +156,7 @@
 	}
 	inFlight, effects := h.gate.Crashed(m.now, c.id, nil, nil)
 	h.table.Crashed(m.now, inFlight, c.crashes)
-	m.carried[c.fingerprint] = max(m.carried[c.fingerprint], 1)
+	m.carried[c.fingerprint] = poison.CountAfterCrash(m.carried[c.fingerprint])
 	m.apply(h, effects)
 }
 
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -32,6 +32,11 @@
 	return Check{}
 }
 
+// CountAfterCrash returns the count that a retry carries after an attempt with
+// the count headerCrashes ended in a crash. The entry node does not know what
+// else was in flight, so it never counts beyond a suspicion by itself.
+func CountAfterCrash(headerCrashes uint8) uint8 { return max(headerCrashes, 1) }
+
 // Crashed records that an instance died with the given requests in flight.
 // With several distinct requests in flight the cause is unknown, so the crash
 // makes each one a suspect but never raises a count above one. A request that
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -53,29 +53,39 @@
 }
 
 // drawVersion draws a version by share. It returns nil if the drawn version
-// must not be used or if no version has a share.
+// must not be used, so that the fallback takes the call, or if no version has
+// a share.
 func (s *service) drawVersion(c *choice) *version {
 	total := 0
 	for i := range s.shareCount() {
-		_, parts := s.share(i)
-		total += parts
+		total += s.weight(i)
 	}
 	if total == 0 {
 		return nil
 	}
 	draw := c.random.below(total)
 	for i := range s.shareCount() {
-		v, parts := s.share(i)
-		if draw -= parts; draw < 0 {
-			if v == nil || s.stopped(v.name) {
-				return nil
-			}
+		if draw -= s.weight(i); draw >= 0 {
+			continue
+		}
+		if v, _ := s.share(i); v != nil && !s.stopped(v.name) {
 			return v
 		}
+		return nil
 	}
 	return nil
 }
 
+// weight returns the weight of the i-th version in a draw. Without a fallback
+// a version that cannot be used leaves its share to the others.
+func (s *service) weight(i int) int {
+	v, parts := s.share(i)
+	if s.shares.Fallback == "" && (v == nil || s.stopped(v.name)) {
+		return 0
+	}
+	return parts
+}
+
 func (s *service) shareCount() int {
 	if len(s.shares.Versions) > 0 {
 		return len(s.shares.Versions)
--- a/internal/routing/health.go
+++ b/internal/routing/health.go
@@ -38,7 +38,7 @@
 	inst.inFlight = max(0, inst.inFlight-1)
 	inst.recordLoad(now, res)
 	inst.recordLatency(res)
-	change := inst.judge(now, res)
+	change := inst.judge(res)
 	if t.Probe {
 		inst.probing = false
 		return inst.judgeProbe(now, res)
@@ -64,23 +64,27 @@
 // recordLatency counts complete answers, and attempts that were given up,
 // whose latency is at least the time waited. Quick failures do not count.
 func (i *instance) recordLatency(res Result) {
-	answered := res.Outcome == mesh.Answered && !res.Failed
-	givenUp := res.Outcome == mesh.MayHaveRun && res.Reason == mesh.ReasonDeadline
-	if answered || givenUp {
+	if res.Outcome == mesh.Answered && !res.Failed || gaveUp(res) {
 		i.latency.add(res.Latency, latencyWeight)
 		i.version.latency.add(res.Latency, latencyWeight/4)
 	}
 }
 
+// gaveUp reports whether the attempt was sent and not answered in time. Other
+// results that may have run, such as a blocked request, are refusals.
+func gaveUp(res Result) bool {
+	return res.Outcome == mesh.MayHaveRun && res.Reason == mesh.ReasonDeadline
+}
+
 // judge counts failures in succession and returns the change that they call
 // for. Refusals by the gate say nothing about the instance's health.
-func (i *instance) judge(now mesh.Time, res Result) Change {
+func (i *instance) judge(res Result) Change {
 	switch {
 	case res.Outcome == mesh.Answered && !res.Failed:
 		i.failures, i.connectionFailures = 0, 0
 	case res.Reason == mesh.ReasonConnectionLost:
 		i.connectionFailures++
-	case res.Outcome == mesh.Answered || res.Outcome == mesh.MayHaveRun:
+	case res.Outcome == mesh.Answered || gaveUp(res):
 		i.failures++
 	}
 	switch {
--- a/internal/routing/health_test.go
+++ b/internal/routing/health_test.go
@@ -66,11 +66,17 @@
 func TestRefusalsAndQueuesDoNotEject(t *testing.T) {
 	is := is.New(t)
 	r := newRouter(fleet(4, "v1"))
-	change, _ := until(r, start, badAt("a-v1-1", Result{Outcome: mesh.NotRun, Reason: mesh.ReasonOverload}))
-	is.Equal(change, Unchanged)
+	for _, refusal := range []Result{
+		{Outcome: mesh.NotRun, Reason: mesh.ReasonOverload},
+		{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonPoison},
+		{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonDuplicate},
+	} {
+		change, _ := until(r, start, badAt("a-v1-1", refusal))
+		is.Equal(change, Unchanged)
+	}
 	queued := ok(100 * ms)
 	queued.Load.Queued = 3
-	change, _ = until(r, start, badAt("a-v1-2", queued))
+	change, _ := until(r, start, badAt("a-v1-2", queued))
 	is.Equal(change, Unchanged)
 }
 
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -110,13 +110,14 @@
 // Guards against calls to a stopped version, also when it has the full share.
 func TestStoppedVersion(t *testing.T) {
 	is := is.New(t)
-	r := newRouter(fleet(2, "v1", "v2"))
+	r := newRouter(fleet(2, "v1", "v2", "v3"))
 	r.SetShares(Shares{Service: "s", Versions: []VersionShare{{"v2", FullShare}}, Stopped: []mesh.BackendVersion{"v2"}, Fallback: "v1"})
 	_, versions := spread(r, start, 100, good)
 	is.Equal(versions, map[mesh.BackendVersion]int{"v1": 100})
 	r.SetShares(Shares{Service: "s", Stopped: []mesh.BackendVersion{"v2"}})
-	_, versions = spread(r, start, 100, good)
-	is.Equal(versions, map[mesh.BackendVersion]int{"v1": 100})
+	_, versions = spread(r, start, 1000, good)
+	is.Equal(versions["v2"], 0)
+	is.True(versions["v1"] > 400 && versions["v3"] > 400) // they divide its share
 }
 
 // Guards against an unproven version that takes all calls because the proven
