Treat a disturbance as persistent and lengthen the last level

Change: a disturbance is expected to go on for 10 s; the last level may last a fifth of the move; the simulation measures load over at least 50 calls and draws faults under load only for services with enough calls.

--- a/internal/moves/judge.go
+++ b/internal/moves/judge.go
@@ -19,7 +19,7 @@
 	// comparison, and in any case at groupMaxAge.
 	groupMinAge   = 500 * time.Millisecond
 	groupMaxAge   = time.Minute
-	groupOldCalls = 10
+	groupOldCalls = 30
 )
 
 // verdict is the result of a judgement.
@@ -148,11 +148,12 @@
 			fail = s.past.failureGroup(old, new, old.Repeats)
 			slow = s.past.latencyGroup(old, new)
 		}
+		fail.persistent, slow.persistent = now < s.fail.disturbedUntil, now < s.slow.disturbedUntil
 		s.failValue = s.fail.value(&fail, bet)
 		s.slowValue = s.slow.value(&slow, bet)
 		if ends {
-			s.fail.close(&fail, bet)
-			s.slow.close(&slow, bet)
+			s.fail.close(now, &fail, bet)
+			s.slow.close(now, &slow, bet)
 			s.past.add(old)
 			s.own = openGroup{opened: now}
 		}
@@ -174,12 +175,13 @@
 		if newCalls > 0 {
 			fail, slow = j.serviceGroups()
 		}
+		fail.persistent, slow.persistent = now < j.fail.disturbedUntil, now < j.slow.disturbedUntil
 		bet := j.bet(now, j.opened)
 		j.failValue, j.slowValue = j.fail.value(&fail, bet), j.slow.value(&slow, bet)
 		j.fresh = false
 		if ends {
-			j.fail.close(&fail, bet)
-			j.slow.close(&slow, bet)
+			j.fail.close(now, &fail, bet)
+			j.slow.close(now, &slow, bet)
 			j.reopen(now)
 		}
 	}
--- a/internal/moves/likelihood.go
+++ b/internal/moves/likelihood.go
@@ -160,22 +160,44 @@
 	return h.table
 }
 
-// evenPart is the part of the latency distribution that is spread evenly over
-// all buckets. It limits the weight of a single outlier.
-const evenPart = 0.01
+const (
+	// evenPart is the part of the latency distribution that is spread evenly over
+	// all buckets. It limits the weight of a single outlier.
+	evenPart = 0.01
+	// normalWeight is the weight, in calls, of a normal distribution of the
+	// bucket index. It fills the tails of a short history.
+	normalWeight = 60
+)
 
 // density returns the smoothed latency distribution of the old version.
 func (h *history) density() [Buckets]float64 {
+	normal := h.normal()
+	all := h.latencies + normalWeight
 	var d [Buckets]float64
 	for i := range d {
-		near := 2 * h.latency[i]
-		if i > 0 {
-			near += h.latency[i-1] / 4
-		}
-		if i+1 < Buckets {
-			near += h.latency[i+1] / 4
-		}
-		d[i] = (1-evenPart)*near/(2.5*h.latencies) + evenPart/Buckets
+		measured := (h.latency[i] + normalWeight*normal[i]) / all
+		d[i] = (1-evenPart)*measured + evenPart/Buckets
+	}
+	return d
+}
+
+// normal returns a normal distribution of the bucket index with the history's
+// mean and variance.
+func (h *history) normal() [Buckets]float64 {
+	var mean, square, sum float64
+	for i, n := range h.latency {
+		mean += float64(i) * n / h.latencies
+		square += float64(i*i) * n / h.latencies
+	}
+	variance := max(square-mean*mean, 0.5)
+	var d [Buckets]float64
+	for i := range d {
+		z := float64(i) - mean
+		d[i] = math.Exp(-z * z / (2 * variance))
+		sum += d[i]
+	}
+	for i := range d {
+		d[i] /= sum
 	}
 	return d
 }
--- a/internal/moves/movesim/calls.go
+++ b/internal/moves/movesim/calls.go
@@ -33,6 +33,9 @@
 	poisonRequests = 3
 	// loadMemory is the time constant of the measured load of the new version.
 	loadMemory = time.Second
+	// loadCalls is the least number of calls over which the load is measured, so
+	// that single calls at a low rate do not count as load.
+	loadCalls = 50
 )
 
 // backends models the two versions of the service.
@@ -77,7 +80,7 @@
 
 // observeLoad updates the new version's load with a call.
 func (b *backends) observeLoad(isNew bool) {
-	weight := 1 / max(1, b.s.Rate*loadMemory.Seconds())
+	weight := 1 / max(loadCalls, b.s.Rate*loadMemory.Seconds())
 	value := 0.0
 	if isNew {
 		value = 1
--- a/internal/moves/movesim/report.go
+++ b/internal/moves/movesim/report.go
@@ -54,7 +54,7 @@
 		bad := r.Scenario.Bad()
 		missed := !bad && !r.InTime() || bad && r.State != moves.Withdrawn || r.Late > MaxLate
 		if missed {
-			fmt.Fprintf(w, "missed: move %d: %s cause %s after %s, late %s, calls %d of %d; %s\n", i, r.State, r.Cause,
+			fmt.Fprintf(w, "missed: move %d: %s cause %s on %q after %s, late %s, calls %d of %d; %s\n", i, r.State, r.Cause, r.CauseRoute,
 				r.Ended.Round(time.Second), r.Late.Round(10*time.Millisecond), r.NewCalls, r.Calls, &r.Scenario)
 		}
 	}
--- a/internal/moves/movesim/run.go
+++ b/internal/moves/movesim/run.go
@@ -14,6 +14,8 @@
 	Scenario Scenario
 	State    moves.State
 	Cause    moves.Cause
+	// CauseRoute is the route on which the fault was found, empty for all.
+	CauseRoute mesh.Route
 	// Ended is the time from the start until the terminal state was written.
 	Ended time.Duration
 	// Calls counts the service's calls from the start until the new version
@@ -115,7 +117,8 @@
 		m := p.state()
 		if m.State.Terminal() && ended == 0 {
 			ended = p.now()
-			r.result.State, r.result.Cause, r.result.Ended = m.State, m.Cause, ended.Sub(began)
+			r.result.State, r.result.Ended = m.State, ended.Sub(began)
+			r.result.Cause, r.result.CauseRoute = m.Cause, m.CauseRoute
 			r.over = m.State == moves.Done
 		}
 		r.result.Early = r.result.Early || m.Early != moves.CauseNone
--- a/internal/moves/movesim/scenario.go
+++ b/internal/moves/movesim/scenario.go
@@ -161,6 +161,9 @@
 	// affect, over both versions, between its start and 80% of the duration. A
 	// fault that meets fewer calls leaves no evidence for any method.
 	affectedCalls = 100
+	// loadedCalls replaces it for faults under load, which affect only the calls
+	// of the short time in which the new version carries the load.
+	loadedCalls = 1500
 	// goodPart is the part of the moves with a good version.
 	goodPart = 0.45
 )
@@ -213,17 +216,18 @@
 		if s.Fault.slow() {
 			s.Size = logUniform(rng, 2, 8)
 		}
-		part := 1.0
+		part, least := 1.0, float64(affectedCalls)
 		switch s.Fault {
 		case FaultFailLater, FaultSlowLater:
 			s.FaultStart = time.Duration((0.05 + 0.7*rng.Float64()) * float64(s.Duration))
 		case FaultFailLoad, FaultSlowLoad:
 			s.Threshold = 0.1 + 0.75*rng.Float64()
+			least = loadedCalls
 		case FaultFailRoute, FaultSlowRoute:
 			s.FaultRoute = rng.IntN(len(s.Routes))
 			part = s.Routes[s.FaultRoute].Weight
 		}
-		if s.Rate*part*(0.8*s.Duration.Seconds()-s.FaultStart.Seconds()) >= affectedCalls {
+		if s.Rate*part*(0.8*s.Duration.Seconds()-s.FaultStart.Seconds()) >= least {
 			return
 		}
 	}
--- a/internal/moves/pace.go
+++ b/internal/moves/pace.go
@@ -34,8 +34,10 @@
 	// where the new version carries its full load.
 	holdMin   = 5 * time.Second
 	finalHold = 10 * time.Second
-	// holdPart bounds the time at one level as a part of the move's duration.
-	holdPart = 0.08
+	// holdPart and finalPart bound the time at one level and at the last one as a
+	// part of the move's duration.
+	holdPart  = 0.06
+	finalPart = 0.2
 	// controlCalls is the rate of calls per second to the old version that the
 	// last level keeps for comparison, within controlMin and controlMax.
 	controlCalls       = 15
@@ -189,13 +191,13 @@
 
 // hold returns the time for which a level after the first is held.
 func hold(level uint8, m *MoveState, s *summary) time.Duration {
-	least := holdMin
+	least, longest := holdMin, holdPart
 	if level == levelFinal {
-		least = finalHold
+		least, longest = finalHold, finalPart
 	}
 	share := float64(levelShare(level, s.rate)) / float64(FullShare)
 	seconds := holdCalls / max(s.rate*share, 1e-6)
-	most := max(least, part(m.Deadline.Sub(m.Started), holdPart))
+	most := max(least, part(m.Deadline.Sub(m.Started), longest))
 	return min(max(least, time.Duration(min(seconds, 1e6)*float64(time.Second))), most)
 }
 
@@ -250,10 +252,8 @@
 // setShares sets the shares of the level for the measured rates.
 func setShares(m *MoveState, s *summary) {
 	span := part(m.Deadline.Sub(m.Started), finishPart/2).Seconds()
-	canary := shareFor(canaryCalls, s.rate*span, canaryMin, canaryMax)
-	if m.Level == levelCanary {
-		m.Share = canary
-	} else {
+	m.Share = shareFor(canaryCalls, s.rate*span, canaryMin, canaryMax)
+	if m.Level > levelCanary {
 		m.Share = levelShare(m.Level, s.rate)
 	}
 	m.Routes = nil
@@ -267,7 +267,7 @@
 
 // shareFor returns the share that gives the wanted number of all calls.
 func shareFor(wanted, all float64, least, most Share) Share {
-	share := math.Ceil(wanted / max(all, 1) * float64(FullShare))
+	share := math.Ceil(wanted / max(all, 1e-6) * float64(FullShare))
 	return Share(min(max(share, float64(least)), float64(most)))
 }
 
--- a/internal/moves/sequential.go
+++ b/internal/moves/sequential.go
@@ -1,6 +1,11 @@
 package moves
 
-import "math"
+import (
+	"math"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
 
 // levels is the number of disturbance levels that a test distinguishes. Level
 // 0 is the normal state; the others stand for a disturbance that affects both
@@ -16,10 +21,15 @@
 	// disturbance of both versions. It bounds the evidence from a group without
 	// calls to the old version.
 	disturbancePrior = 0.01
-	// disturbedWeight reduces the evidence for a fault from a group in which the
-	// old version is itself disturbed, since the levels describe a disturbance
-	// only roughly.
-	disturbedWeight = 0.4
+	// disturbedWeight and disturbedPenalty reduce the log-ratio for a fault of a
+	// group in which the old version is itself disturbed. The levels describe a
+	// disturbance only roughly, and the misfit would add up over groups.
+	disturbedWeight  = 0.5
+	disturbedPenalty = 1.0
+	// disturbedTime is the time for which a disturbance is expected to go on, and
+	// persistentPrior its probability in that time.
+	disturbedTime   = 10 * time.Second
+	persistentPrior = 0.5
 )
 
 // The prior on the start of a fault: startWeight on the first call to the new
@@ -40,6 +50,16 @@
 type group struct {
 	old [levels]float64
 	new [alternatives][levels]float64
+	// persistent is set shortly after a disturbance.
+	persistent bool
+}
+
+// prior returns the probability that the group falls into a disturbance.
+func (g *group) prior() float64 {
+	if g.persistent {
+		return persistentPrior
+	}
+	return disturbancePrior
 }
 
 // add multiplies the likelihoods of an independent group of another route.
@@ -59,11 +79,11 @@
 // ratio, so calls that fail in both versions alike give a ratio near one.
 func (g *group) ratios() (out [alternatives]float64) {
 	null := g.mixture(0)
-	disturbed := g.disturbed()
+	disturbed := g.persistent || g.disturbed()
 	for a := 1; a < alternatives; a++ {
 		out[a] = g.mixture(a) - null
 		if disturbed && out[a] > 0 {
-			out[a] *= disturbedWeight
+			out[a] = disturbedWeight*out[a] - disturbedPenalty
 		}
 	}
 	return out
@@ -72,7 +92,7 @@
 // disturbed reports whether the old version's calls alone make a disturbance
 // more probable than not.
 func (g *group) disturbed() bool {
-	prior := math.Log(disturbancePrior / (levels - 1))
+	prior := math.Log(g.prior() / (levels - 1))
 	for l := 1; l < levels; l++ {
 		if prior+g.old[l] > g.old[0] {
 			return true
@@ -85,8 +105,8 @@
 // over the levels.
 func (g *group) mixture(a int) float64 {
 	var terms [levels]float64
-	terms[0] = math.Log1p(-disturbancePrior) + g.old[0] + g.new[a][0]
-	prior := math.Log(disturbancePrior / (levels - 1))
+	terms[0] = math.Log1p(-g.prior()) + g.old[0] + g.new[a][0]
+	prior := math.Log(g.prior() / (levels - 1))
 	for l := 1; l < levels; l++ {
 		terms[l] = prior + g.old[l] + g.new[a][l]
 	}
@@ -100,6 +120,9 @@
 type sequential struct {
 	closed  [alternatives]float64 // log of the e-value of each alternative
 	started bool
+	// disturbedUntil is the time until which the last disturbance is expected to
+	// go on.
+	disturbedUntil mesh.Time
 }
 
 // value returns the log of the e-value if the open group ended now. The bet is
@@ -110,9 +133,12 @@
 }
 
 // close ends the open group.
-func (s *sequential) close(open *group, bet float64) {
+func (s *sequential) close(now mesh.Time, open *group, bet float64) {
 	s.closed = s.extended(open, bet)
 	s.started = true
+	if open.disturbed() {
+		s.disturbedUntil = now.Add(disturbedTime)
+	}
 }
 
 // extended returns the e-values after a group. Each group adds its bet, so a
