--- a/internal/moves/pace.go
+++ b/internal/moves/pace.go
@@ -30,6 +30,9 @@
 	// holdCalls is the number of calls to the new version that each later level
 	// collects.
 	holdCalls = 150
+	// finalCalls replaces it at the last level, where a fault under load may show
+	// at full load only.
+	finalCalls = 400
 	// holdMin is the shortest time at a level; finalHold that at the last one,
 	// where the new version carries its full load.
 	holdMin   = 5 * time.Second
@@ -191,12 +194,12 @@
 
 // hold returns the time for which a level after the first is held.
 func hold(level uint8, m *MoveState, s *summary) time.Duration {
-	least, longest := holdMin, holdPart
+	calls, least, longest := float64(holdCalls), holdMin, holdPart
 	if level == levelFinal {
-		least, longest = finalHold, finalPart
+		calls, least, longest = finalCalls, finalHold, finalPart
 	}
 	share := float64(levelShare(level, s.rate)) / float64(FullShare)
-	seconds := holdCalls / max(s.rate*share, 1e-6)
+	seconds := calls / max(s.rate*share, 1e-6)
 	most := max(least, part(m.Deadline.Sub(m.Started), longest))
 	return min(max(least, time.Duration(min(seconds, 1e6)*float64(time.Second))), most)
 }
