--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,142 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+// Range of the latency histograms in microseconds.
+const (
+	minMicros   = 1
+	maxMicros   = 120_000_000
+	significant = 3
+)
+
+// Counts counts sends by their result.
+type Counts struct {
+	Sent       int64 `json:"sent"`
+	Answered   int64 `json:"answered"`
+	Failed     int64 `json:"failed"`
+	NotRun     int64 `json:"not_run"`
+	MayHaveRun int64 `json:"may_have_run"`
+	NoAnswer   int64 `json:"no_answer"`
+	// Wrong counts answers that do not belong to their request.
+	Wrong int64 `json:"wrong"`
+}
+
+func (c *Counts) add(v verdict) {
+	c.Sent++
+	counter := [verdicts]*int64{&c.Answered, &c.Failed, &c.NotRun, &c.MayHaveRun, &c.NoAnswer, &c.Wrong}
+	*counter[v]++
+}
+
+// Latency holds the latency of answered calls in milliseconds, measured from
+// the time at which the call was due.
+type Latency struct {
+	P50  float64 `json:"p50_ms"`
+	P90  float64 `json:"p90_ms"`
+	P99  float64 `json:"p99_ms"`
+	P999 float64 `json:"p999_ms"`
+	Max  float64 `json:"max_ms"`
+}
+
+// Series is the result of the sends of one class over one path.
+type Series struct {
+	Class   mesh.Class `json:"class"`
+	Counts  Counts     `json:"counts"`
+	Latency Latency    `json:"latency"`
+
+	histogram *hdrhistogram.Histogram
+}
+
+// Report is the result of a run.
+type Report struct {
+	Rate    float64 `json:"rate_per_s"`
+	Seconds float64 `json:"seconds"`
+	Seed    uint64  `json:"seed"`
+	Dropped int64   `json:"dropped"`
+	Resent  int64   `json:"resent"`
+	// AnsweredTwice counts identities for which two sends were answered. Answers to
+	// both are a fault for calls of a non-idempotent class only.
+	AnsweredTwice int64     `json:"answered_twice"`
+	Nodes         []*Series `json:"nodes"`
+	Direct        []*Series `json:"direct,omitempty"`
+	// AddedP50 and AddedP99 compare nodes with direct calls over all classes,
+	// in milliseconds.
+	AddedP50 *float64 `json:"added_p50_ms,omitempty"`
+	AddedP99 *float64 `json:"added_p99_ms,omitempty"`
+}
+
+// recorder collects results from concurrent calls.
+type recorder struct {
+	mu     sync.Mutex
+	report Report
+}
+
+func newRecorder(o *Options) *recorder {
+	r := &recorder{report: Report{Rate: o.Rate, Seed: o.Seed}}
+	for _, class := range o.Classes {
+		r.report.Nodes = append(r.report.Nodes, newSeries(class.Name))
+		if o.Direct != "" {
+			r.report.Direct = append(r.report.Direct, newSeries(class.Name))
+		}
+	}
+	return r
+}
+
+func newSeries(class mesh.Class) *Series {
+	return &Series{Class: class, histogram: hdrhistogram.New(minMicros, maxMicros, significant)}
+}
+
+func (r *recorder) add(series *Series, v verdict, latency time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	series.Counts.add(v)
+	if v == verdictAnswered {
+		_ = series.histogram.RecordValue(min(max(latency.Microseconds(), minMicros), maxMicros))
+	}
+}
+
+func (r *recorder) update(change func(*Report)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.report)
+}
+
+// finish computes the latencies once all calls have ended.
+func (r *recorder) finish(elapsed time.Duration) *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Seconds = elapsed.Seconds()
+	nodes, direct := summarise(r.report.Nodes), summarise(r.report.Direct)
+	if nodes.TotalCount() > 0 && direct.TotalCount() > 0 {
+		r.report.AddedP50 = added(nodes, direct, 50)
+		r.report.AddedP99 = added(nodes, direct, 99)
+	}
+	return &r.report
+}
+
+func summarise(all []*Series) *hdrhistogram.Histogram {
+	sum := hdrhistogram.New(minMicros, maxMicros, significant)
+	for _, s := range all {
+		s.Latency = Latency{
+			P50: millis(s.histogram, 50), P90: millis(s.histogram, 90), P99: millis(s.histogram, 99),
+			P999: millis(s.histogram, 99.9), Max: float64(s.histogram.Max()) / 1000,
+		}
+		sum.Merge(s.histogram)
+	}
+	return sum
+}
+
+func millis(h *hdrhistogram.Histogram, percentile float64) float64 {
+	return float64(h.ValueAtPercentile(percentile)) / 1000
+}
+
+func added(nodes, direct *hdrhistogram.Histogram, percentile float64) *float64 {
+	difference := millis(nodes, percentile) - millis(direct, percentile)
+	return &difference
+}
