Estimate call durations by route and answer unreadable requests

A bound from one estimate per backend server would cut slow calls of one route by the speed of another. Estimates are now kept by method and leading path segments, with a fading peak. Requests that cannot be read get outcome and reason headers; idle control connections end after two minutes.

go test -race -count=2 ./internal/... passes.

--- a/internal/connpool/pool.go
+++ b/internal/connpool/pool.go
@@ -21,22 +21,26 @@
 // after one has failed. Calls still try at once.
 const reopenDelay = time.Second
 
+// maxWrites bounds the connections that a call tries when nothing can be
+// written.
+const maxWrites = 4
+
 // Pool holds the connections to one address.
 type Pool struct {
 	addr     string
 	opts     Options
 	counters *Counters
 
-	mu       sync.Mutex
-	idle     []*conn // the most recently used one last
-	open     int     // connections in use, idle, being probed or being opened
-	pending  int     // connections being probed or opened ahead of calls
-	retryAt  time.Time
-	all      map[*conn]struct{}
-	waiters  []chan *conn
-	estimate estimate
-	lastCall time.Time
-	closed   bool
+	mu        sync.Mutex
+	idle      []*conn // the most recently used one last
+	open      int     // connections in use, idle, being probed or being opened
+	pending   int     // connections being probed or opened ahead of calls
+	retryAt   time.Time
+	all       map[*conn]struct{}
+	waiters   []chan *conn
+	estimates estimates
+	lastCall  time.Time
+	closed    bool
 
 	background sync.WaitGroup
 }
@@ -48,13 +52,13 @@
 // Do sends the request once and reads the whole answer before the deadline. An
 // error is of type ErrNotSent or ErrLost.
 func (p *Pool) Do(req *fasthttp.Request, resp *fasthttp.Response, deadline time.Time) error {
-	for {
+	for attempt := 1; ; attempt++ {
 		c, err := p.acquire(deadline)
 		if err != nil {
 			return err
 		}
 		start := time.Now()
-		until, bounded := p.answerBy(start, deadline)
+		until, bounded := p.answerBy(req, start, deadline)
 		_ = c.SetDeadline(until)
 		step, sent, err := c.write(req)
 		if err != nil {
@@ -62,7 +66,7 @@
 			switch {
 			case sent:
 				return lost(step, p.addr, err)
-			case step == StepEncode || !time.Now().Before(deadline):
+			case step == StepEncode || attempt == maxWrites:
 				return notSent(step, p.addr, err)
 			}
 			continue // nothing was written: another connection is safe
@@ -78,7 +82,7 @@
 	timedOut := errors.Is(err, os.ErrDeadlineExceeded)
 	if err == nil || (timedOut && bounded) {
 		p.mu.Lock()
-		p.estimate.add(now.Sub(start))
+		p.estimates.of(req).add(now.Sub(start))
 		p.mu.Unlock()
 	}
 	if err == nil && reusable {
@@ -101,9 +105,9 @@
 
 // answerBy returns the time by which the answer must be read, and whether the
 // estimate rather than the deadline sets it.
-func (p *Pool) answerBy(start, deadline time.Time) (time.Time, bool) {
+func (p *Pool) answerBy(req *fasthttp.Request, start, deadline time.Time) (time.Time, bool) {
 	p.mu.Lock()
-	bound, ok := p.estimate.bound(p.opts.SilenceFloor)
+	bound, ok := p.estimates.of(req).bound(p.opts.SilenceFloor)
 	p.mu.Unlock()
 	if by := start.Add(bound); ok && by.Before(deadline) {
 		return by, true
--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -91,17 +91,17 @@
 	opts.SilenceFloor = 150 * time.Millisecond
 	pool := newSet(t, opts).Get(forwarder.addr)
 	for range 20 {
-		body, err := call(pool, "/before", testTimeout)
+		body, err := call(pool, "/echo/service/before", testTimeout)
 		is.NoErr(err)
-		is.Equal(body, "/before")
+		is.Equal(body, "/echo/service/before")
 	}
 	forwarder.silence()
 	start := time.Now()
 	var err error
 	for attempts := 0; attempts < 3; attempts++ {
 		var body string
-		if body, err = call(pool, "/after", testTimeout); err == nil {
-			is.Equal(body, "/after")
+		if body, err = call(pool, "/echo/service/after", testTimeout); err == nil {
+			is.Equal(body, "/echo/service/after")
 			break
 		}
 	}
@@ -229,3 +229,26 @@
 	}
 	is.True(pool.Open() <= opts.MaxConns)
 }
+
+// Guards against cutting a call of a slow route by the estimate of a fast one,
+// and against a bound that a single slow call of a route does not raise.
+func TestEstimatesByRoute(t *testing.T) {
+	is := is.New(t)
+	var e estimates
+	of := func(path string) *estimate {
+		req := &fasthttp.Request{}
+		req.Header.SetRequestURI(path)
+		return e.of(req)
+	}
+	for range 100 {
+		of("/forward/stock/1?a=/b").add(time.Millisecond)
+	}
+	_, bounded := of("/forward/statements").bound(time.Millisecond)
+	is.True(!bounded)
+	of("/forward/stock/2").add(time.Second)
+	for range 20 {
+		of("/forward/stock").add(time.Millisecond)
+	}
+	bound, bounded := of("/forward/stock/3").bound(time.Millisecond)
+	is.True(bounded && bound > time.Second)
+}
--- a/internal/runtime/calls_test.go
+++ b/internal/runtime/calls_test.go
@@ -1,9 +1,12 @@
 package runtime
 
 import (
+	"bufio"
 	"fmt"
+	"net"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
@@ -197,3 +200,46 @@
 	}
 	is.NoErr(<-n.stopped)
 }
+
+// Guards against requests in unusual but valid forms that a hop rejects, hangs
+// on or answers in the wrong frame.
+func TestRequestForms(t *testing.T) {
+	entry, _, _ := pair(t, startBackend(t, echoBody))
+	for name, test := range map[string]struct{ request, method, body string }{
+		"HTTP/1.0 without host": {"GET /x HTTP/1.0\r\n\r\n", "GET", "GET /x "},
+		"chunked":               {"POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", "POST", "POST /x abc"},
+		"HEAD":                  {"HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n", "HEAD", ""},
+		"connection close":      {"GET /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "GET", "GET /x "},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			resp := exchange(t, entry.call, test.request, test.method == "HEAD")
+			is.Equal(resp.StatusCode(), fasthttp.StatusOK)
+			is.Equal(string(resp.Body()), test.body)
+			is.Equal(string(resp.Header.Peek(mesh.HeaderOutcome)), "answered")
+		})
+	}
+	is := is.New(t)
+	large := exchange(t, entry.call, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 999999999\r\n\r\n", false)
+	is.Equal(large.StatusCode(), fasthttp.StatusRequestEntityTooLarge)
+	is.Equal(string(large.Header.Peek(mesh.HeaderOutcome)), "not-run")
+}
+
+// exchange writes a raw request and reads the answer.
+func exchange(t *testing.T, addr, request string, head bool) *fasthttp.Response {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	resp := &fasthttp.Response{SkipBody: head}
+	if _, err = c.Write([]byte(request)); err == nil {
+		err = resp.Read(bufio.NewReader(c))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
--- a/internal/runtime/codec.go
+++ b/internal/runtime/codec.go
@@ -82,6 +82,7 @@
 // ReadRequestHeader implements rpc.ServerCodec.
 func (c *gobCodec) ReadRequestHeader(r *rpc.Request) error {
 	c.meter.budget = c.meter.limit
+	_ = c.meter.SetReadDeadline(time.Now().Add(controlIdle))
 	err := c.decoder.Decode(r)
 	c.method = r.ServiceMethod
 	return c.countBad(err)
@@ -89,6 +90,7 @@
 
 // ReadRequestBody implements rpc.ServerCodec.
 func (c *gobCodec) ReadRequestBody(body any) error {
+	_ = c.meter.SetReadDeadline(time.Now().Add(controlTimeout))
 	err := c.decoder.Decode(body)
 	c.metrics.ControlBytes(telemetry.Received, causeOf(c.method), c.meter.received)
 	c.meter.received = 0
--- a/internal/runtime/control.go
+++ b/internal/runtime/control.go
@@ -14,6 +14,9 @@
 const (
 	// controlTimeout bounds dialling, writing and the reply of a delivery.
 	controlTimeout = 2 * time.Second
+	// controlIdle bounds the wait for the next message of a connection. It
+	// exceeds peerIdle, so that the sender closes an idle connection.
+	controlIdle = 2 * time.Minute
 	// operatorTimeout bounds the wait for the reducer's reply to an operator.
 	operatorTimeout = 15 * time.Second
 	// maxControlConns bounds the open control connections of a node.
--- a/internal/runtime/headers.go
+++ b/internal/runtime/headers.go
@@ -19,6 +19,9 @@
 	headerCrashed = "Chicory-Crashed"
 )
 
+// defaultHost stands in for the Host header that HTTP/1.0 lacks.
+const defaultHost = "chicory"
+
 // Paths of the peer server.
 const (
 	pathForward  = "/forward"
@@ -98,6 +101,10 @@
 	for _, name := range hopHeaders {
 		dst.Header.Del(name)
 	}
+	dst.Header.SetProtocol("HTTP/1.1")
+	if len(dst.Header.Host()) == 0 {
+		dst.Header.SetHost(defaultHost)
+	}
 	dst.Header.SetRequestURIBytes(append([]byte(prefix), target...))
 	dst.SetBodyRaw(body)
 }
--- a/internal/runtime/node.go
+++ b/internal/runtime/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -112,7 +113,16 @@
 	return &fasthttp.Server{
 		Handler: n.guard(handler), Name: "chicory-node", NoDefaultServerHeader: true,
 		MaxRequestBodySize: n.opts.MaxBodyBytes, ReadTimeout: serverReadTimeout, IdleTimeout: serverIdleTimeout,
-		Concurrency: serverConcurrency, CloseOnShutdown: true, Logger: quietLogger{},
+		ErrorHandler: n.refuseUnread, Concurrency: serverConcurrency, CloseOnShutdown: true, Logger: quietLogger{},
+	}
+}
+
+// refuseUnread answers a request that could not be read.
+func (n *Node) refuseUnread(ctx *fasthttp.RequestCtx, err error) {
+	n.opts.Metrics.BadRequests.Add(1)
+	refuse(&ctx.Response, mesh.NotRun, mesh.ReasonBadRequest)
+	if errors.Is(err, fasthttp.ErrBodyTooLarge) {
+		ctx.SetStatusCode(fasthttp.StatusRequestEntityTooLarge)
 	}
 }
 
--- a/internal/runtime/options.go
+++ b/internal/runtime/options.go
@@ -53,10 +53,16 @@
 // TickInterval is the time between two tick events.
 const TickInterval = 10 * time.Millisecond
 
+// peerSilenceFloor exceeds that of backend servers, since a call waits in the
+// gate's queue too and the gate cuts calls on its own silent connections.
+const peerSilenceFloor = 2 * time.Second
+
 // DefaultOptions returns options without a host and addresses.
 func DefaultOptions() Options {
+	peers := connpool.DefaultOptions()
+	peers.SilenceFloor = peerSilenceFloor
 	return Options{
-		Peers:           connpool.DefaultOptions(),
+		Peers:           peers,
 		Backends:        connpool.DefaultOptions(),
 		MaxBodyBytes:    4 << 20,
 		MaxControlBytes: 8 << 20,
