--- /dev/null
+++ b/internal/runtime/bench_test.go
@@ -0,0 +1,82 @@
+package runtime
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicoryscale/chicoryscale/internal/core"
+	"github.com/chicoryscale/chicoryscale/internal/load"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+// BenchmarkAddedLatency compares calls through two nodes, and through one with
+// a local target, with direct calls to the backend server in the same run. All
+// of them share one process, so the figures include its scheduling.
+func BenchmarkAddedLatency(b *testing.B) {
+	backend := startBackend(b, func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.Header.SetBytesV(mesh.HeaderRequestID, ctx.Request.Header.Peek(mesh.HeaderRequestID))
+		ctx.Response.Header.Set(load.HeaderDigest, load.Digest(ctx.PostBody()))
+	})
+	entry, _, _ := pair(b, backend)
+	local := startNode(b, "local", &fakeStepper{host: "local", backend: backend})
+	for name, node := range map[string]*testNode{"remote": entry, "local": local} {
+		for _, rate := range []float64{200, 1000, 4000} {
+			b.Run(fmt.Sprintf("%s/%g", name, rate), func(b *testing.B) {
+				report, err := load.Run(context.Background(), &load.Options{
+					Nodes: []string{node.call}, Direct: backend, Domain: "ifrane", Rate: rate,
+					Duration: time.Duration(float64(b.N) / rate * float64(time.Second)), Timeout: testTimeout, MaxInFlight: 1000,
+					Classes: []load.ClassSpec{{Name: "write", Method: "POST", Path: "/x", BodyBytes: 512, Weight: 1}},
+				})
+				if err != nil || report.AddedP50 == nil || report.Nodes[0].Counts.Answered != int64(b.N) {
+					b.Fatalf("run failed: %v, report %+v", err, report)
+				}
+				b.ReportMetric(*report.AddedP50, "added-p50-ms")
+				b.ReportMetric(*report.AddedP99, "added-p99-ms")
+			})
+		}
+	}
+}
+
+// bytesConn is a connection that yields fixed bytes.
+type bytesConn struct {
+	net.Conn
+	io.Reader
+}
+
+func (c bytesConn) Read(p []byte) (int, error)      { return c.Reader.Read(p) }
+func (c bytesConn) SetReadDeadline(time.Time) error { return nil }
+
+// Guards against bytes on a control connection that panic the decoder or make
+// it read beyond the limit of a message.
+func FuzzControlCodec(f *testing.F) {
+	var valid bytes.Buffer
+	encoder := gob.NewEncoder(&valid)
+	for _, v := range []any{rpc.Request{ServiceMethod: methodDeliver, Seq: 1}, core.Envelope{From: "a", Clock: 1}} {
+		if err := encoder.Encode(v); err != nil {
+			f.Fatal(err)
+		}
+	}
+	f.Add(valid.Bytes())
+	f.Add([]byte("\xf8\x7f\xff\xff\xff\xff\xff\xff\xff"))
+	f.Add([]byte{})
+	opts := DefaultOptions()
+	opts.MaxControlBytes = 4 << 10
+	f.Fuzz(func(t *testing.T, data []byte) {
+		codec := newGobCodec(bytesConn{Reader: bytes.NewReader(data)}, &opts)
+		var request rpc.Request
+		for codec.ReadRequestHeader(&request) == nil && codec.ReadRequestBody(new(core.Envelope)) == nil {
+			if codec.meter.budget < 0 {
+				t.Errorf("read %d bytes beyond the limit", -codec.meter.budget)
+			}
+		}
+	})
+}
--- a/internal/runtime/decode_test.go
+++ b/internal/runtime/decode_test.go
@@ -13,10 +13,11 @@
 
 func TestMain(m *testing.M) {
 	goleak.VerifyTestMain(m,
-		// fasthttp keeps these for the life of the process.
+		// fasthttp gives no means to end these; some end by themselves within 10 s.
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.updateServerDate.func1"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*TCPDialer).tcpAddrsClean"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*HostClient).connsCleaner"),
+		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*Client).mCleaner"),
 		goleak.IgnoreAnyFunction("github.com/valyala/fasthttp.(*workerPool).Start.func2"))
 }
 
