End the node process after an operator's drain

The reducer drained on an operator's command, but Run waited for a signal, so chicoryctl drain left a process behind that refused every call.

--- a/internal/runtime/node.go
+++ b/internal/runtime/node.go
@@ -140,9 +140,9 @@
 	}
 }
 
-// Run serves until ctx ends, then stops gracefully: it drains the reducer, waits
-// until that has drained or the grace period ends, lets the requests in progress
-// finish and releases everything.
+// Run serves until ctx ends or an operator has drained the node, then stops
+// gracefully: it drains the reducer, waits until that has drained or the grace
+// period ends, lets the requests in progress finish and releases everything.
 func (n *Node) Run(ctx context.Context) error {
 	var servers, ticker sync.WaitGroup
 	errs := make(chan error, 2)
@@ -154,6 +154,7 @@
 	var failed error
 	select {
 	case <-ctx.Done():
+	case <-n.drained: // by an operator's command
 	case failed = <-errs:
 	}
 	grace, cancel := context.WithTimeout(context.Background(), n.opts.GracePeriod)
