Add the operator commands

The default timeout of a question to a node exceeds the 10 s after which a node reports that the platform gives no answer, so that the reason is shown.

--- /dev/null
+++ b/cmd/chicoryctl/main.go
@@ -0,0 +1,19 @@
+// Command chicoryctl is the operators' tool.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/chicoryscale/chicoryscale/internal/ctl"
+)
+
+func main() { os.Exit(run()) }
+
+func run() int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return ctl.Execute(ctx, ctl.New())
+}
--- /dev/null
+++ b/internal/ctl/apply.go
@@ -0,0 +1,187 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/spf13/cobra"
+
+	"github.com/chicoryscale/chicoryscale/internal/config"
+	"github.com/chicoryscale/chicoryscale/internal/core"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/publish"
+)
+
+const (
+	defaultWait = 30 * time.Second
+	// waitInterval is the time between two questions for the hosts in force.
+	waitInterval = 200 * time.Millisecond
+)
+
+// applyFlags are the flags of `config apply`.
+type applyFlags struct {
+	operation   string
+	base        uint64
+	note        string
+	wait        bool
+	waitTimeout time.Duration
+}
+
+// application is the result of `config apply`.
+type application struct {
+	Version   mesh.ConfigVersion  `json:"version"`
+	Hash      config.Hash         `json:"hash"`
+	Operation publish.OperationID `json:"operation"`
+	InForce   *inForce            `json:"in_force,omitempty"`
+}
+
+// inForce tells on how many hosts a version is in force.
+type inForce struct {
+	Version mesh.ConfigVersion `json:"version"`
+	Hosts   uint32             `json:"hosts"`
+	Total   uint32             `json:"total"`
+	// Missing names some of the hosts without the version.
+	Missing []mesh.HostID `json:"missing"`
+	// Rejection is the reason of a host that refused the version.
+	Rejection string `json:"rejection,omitempty"`
+}
+
+func (f *inForce) complete() bool { return f.Total > 0 && f.Hosts >= f.Total }
+
+func (f *inForce) String() string {
+	line := fmt.Sprintf("%v in force on %d of %d", f.Version, f.Hosts, f.Total)
+	if len(f.Missing) > 0 {
+		line += ", missing: " + joinHosts(f.Missing)
+	}
+	if f.Rejection != "" {
+		line += ", rejected: " + f.Rejection
+	}
+	return line
+}
+
+func joinHosts(hosts []mesh.HostID) string {
+	names := make([]string, len(hosts))
+	for i, host := range hosts {
+		names[i] = string(host)
+	}
+	return strings.Join(names, " ")
+}
+
+func (a *app) applyCommand() *cobra.Command {
+	var flags applyFlags
+	cmd := &cobra.Command{
+		Use:   "apply FILE",
+		Short: "Makes a configuration file the next accepted version",
+		Args:  exactArgs("FILE"),
+		RunE: a.run(func(cmd *cobra.Command, args []string) error {
+			return a.apply(cmd, args[0], &flags)
+		}),
+	}
+	cmd.Flags().StringVar(&flags.operation, "operation", "", "operation ID; repeat the ID to repeat a command safely (default: generated)")
+	cmd.Flags().Uint64Var(&flags.base, "base", 0, "number of the version that the change was made against (default: the current one)")
+	cmd.Flags().StringVar(&flags.note, "note", "", "note for the history")
+	cmd.Flags().BoolVar(&flags.wait, "wait", false, "wait until the version is in force on all hosts")
+	cmd.Flags().DurationVar(&flags.waitTimeout, "wait-timeout", defaultWait, "longest time to wait with --wait")
+	return cmd
+}
+
+func (a *app) apply(cmd *cobra.Command, path string, flags *applyFlags) error {
+	content, err := readValidConfig(path)
+	if err != nil {
+		return err
+	}
+	if flags.operation == "" {
+		flags.operation = uuid.NewString()
+	}
+	base := mesh.ConfigVersion(flags.base)
+	if !cmd.Flags().Changed("base") {
+		if base, err = a.currentVersion(cmd.Context()); err != nil {
+			return err
+		}
+	}
+	result := application{Hash: content.Hash, Operation: publish.OperationID(flags.operation)}
+	if result.Version, err = a.publish(cmd.Context(), content, base, &result, flags.note); err != nil {
+		return err
+	}
+	var waitErr error
+	if flags.wait {
+		result.InForce, waitErr = a.waitInForce(cmd.Context(), result.Version, flags.waitTimeout)
+	}
+	if err := a.print(cmd, &result, result.text); err != nil {
+		return err
+	}
+	return waitErr
+}
+
+func (r *application) text(w io.Writer) error {
+	_, err := fmt.Fprintf(w, "accepted as %v, hash %s, operation %s\n", r.Version, r.Hash, r.Operation)
+	if r.InForce != nil {
+		_, err = fmt.Fprintln(w, r.InForce)
+	}
+	return err
+}
+
+// currentVersion returns the newest version that a node knows.
+func (a *app) currentVersion(ctx context.Context) (mesh.ConfigVersion, error) {
+	reply, err := a.nodes.ask(ctx, core.OperatorRequest{Status: &core.StatusRequest{}})
+	if err != nil {
+		return 0, err
+	}
+	return reply.Status.Head.Version, nil
+}
+
+// publish sends the configuration to nodes until one knows the result.
+func (a *app) publish(ctx context.Context, content *config.Accepted, base mesh.ConfigVersion, op *application, note string) (mesh.ConfigVersion, error) {
+	reply, err := a.nodes.ask(ctx, core.OperatorRequest{Apply: &core.ApplyRequest{
+		Operation: op.Operation, Operator: a.settings.Operator, Note: note, Base: base, Snapshot: content.Encoded,
+	}})
+	if err != nil {
+		if codeOf(err) == ExitUnsettled {
+			return 0, fail(ExitUnsettled, fmt.Sprintf("Repeat the command with --operation %s; it takes effect at most once.", op.Operation), "%v", err)
+		}
+		return 0, err
+	}
+	if reply.Publish == nil {
+		return 0, fail(ExitRejected, "", "the node refused the command: %s", reply.Err)
+	}
+	return reply.Publish.Version, publishError(reply.Publish, op.Operation)
+}
+
+func historyError(reply *core.OperatorReply) error {
+	if reply.Publish == nil {
+		return fail(ExitFailure, "", "the node refused the command: %s", reply.Err)
+	}
+	if reply.Publish.Status == publish.Unavailable {
+		return fail(ExitUnavailable, "Repeat the command once the platform is available.",
+			"the platform did not answer: %s", reply.Publish.Detail)
+	}
+	return publishError(reply.Publish, "")
+}
+
+// waitInForce asks a reader until the version, or a newer one, is in force on
+// all hosts.
+func (a *app) waitInForce(ctx context.Context, version mesh.ConfigVersion, limit time.Duration) (*inForce, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	last := &inForce{Version: version, Missing: []mesh.HostID{}}
+	for {
+		if f, err := a.readInForce(ctx); err == nil && f.Version >= version {
+			if last = f; f.complete() {
+				return last, nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return last, fail(ExitNotInForce,
+				"The version stays accepted and is distributed further. See `chicoryctl status` and `chicoryctl nodes`.",
+				"not in force on all hosts within %v: %v", limit, last)
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/settings/ctl.go
+++ b/internal/settings/ctl.go
@@ -8,7 +8,8 @@
 	Nodes []string
 	// Operator is the name recorded with changes.
 	Operator string
-	// Timeout bounds one command.
+	// Timeout bounds one question to one node. The default exceeds the time
+	// after which a node reports that the platform gives no answer.
 	Timeout time.Duration
 }
 
@@ -19,6 +20,6 @@
 	return &Ctl{
 		Nodes:    t.addresses("nodes", 1, 32),
 		Operator: t.name("operator"),
-		Timeout:  t.millis("timeout_ms", 10*time.Second, 100*time.Millisecond, 10*time.Minute),
+		Timeout:  t.millis("timeout_ms", 12*time.Second, 100*time.Millisecond, 10*time.Minute),
 	}
 }
