--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,8 @@
 # them with a baseline policy. The last line is JSON.
 moves:
 	$(GO) run ./internal/moves/movesbench -seed $(SEED) -count $(COUNT)
+
+# demo runs the Fès deployment as processes on loopback. The last line is JSON.
+demo: build
+	$(GO) build -o bin/demo ./internal/tooling/demo
+	bin/demo -bin bin
