--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -186,6 +186,23 @@
 	is.Equal(g.Load(inst).InUse, uint16(1))
 }
 
+// Guards against a suspect that is charged alone for a crash because the calls
+// lost with the dying process had already been reported.
+func TestCallOfDyingProcessIsNotAlone(t *testing.T) {
+	is := is.New(t)
+	g := newGate(2, 8)
+	suspect := Call{ID: 2, Instance: inst, Deadline: start.Add(time.Minute), Fingerprint: 2, Exclusive: true}
+	arrive(g, 1, mesh.Normal, time.Second)
+	g.Done(start, 1, Lost, nil)
+	is.Equal(got(g.Arrive(start.Add(lostWindow), suspect, nil)), []want{{Dispatch, 2, 0}})
+	f, _ := g.Crashed(start.Add(5*time.Second), 2, nil, nil) // a late report
+	is.Equal(f, []mesh.Fingerprint{2, 1})
+	g.SetInstance(start, Instance{ID: inst, Slots: 2}, nil)
+	g.Arrive(start.Add(10*time.Second), suspect, nil)
+	f, _ = g.Crashed(start.Add(10*time.Second), 2, nil, nil)
+	is.Equal(f, []mesh.Fingerprint{2})
+}
+
 // Guards against calls that are left without an answer when the lease ends.
 func TestRemoveInstance(t *testing.T) {
 	is := is.New(t)
