Keep idle connections whose last call's deadline has passed

The check of an idle connection failed once the deadline of its previous call had passed, so the pool closed a healthy connection and opened a new one. The check now clears the deadline.

--- a/internal/connpool/conn.go
+++ b/internal/connpool/conn.go
@@ -36,6 +36,10 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	// The deadline of the previous call would make the check fail once past.
+	if c.SetDeadline(time.Time{}) != nil {
+		return false
+	}
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
 	if err != nil {
 		return false
