Repeat move states at their interval

The core sets the links of the moves with every tick, and each time all states were sent again: a top node sent 500 messages a second. Unchanged links no longer cause a repetition.

--- a/internal/moves/flow.go
+++ b/internal/moves/flow.go
@@ -37,13 +37,24 @@
 // top reports whether the node is the top of its failure domain.
 func (r *Reducer) top() bool { return r.links.Up == "" }
 
-// SetLinks replaces the node's place in the tree. The Reducer keeps the slices.
-// All states are sent again with the next tick.
+// SetLinks replaces the node's place in the tree. The Reducer keeps no slice of
+// the caller's. After a change all states are sent again with the next tick;
+// unchanged links may be set at any rate.
 func (r *Reducer) SetLinks(links Links) {
-	r.links = links
+	if r.links.equal(&links) {
+		return
+	}
+	r.links = Links{
+		Up: links.Up, Down: slices.Clone(links.Down), Tops: slices.Clone(links.Tops), Reader: links.Reader,
+	}
 	r.flow.repeated = 0
 }
 
+func (l *Links) equal(other *Links) bool {
+	return l.Up == other.Up && l.Reader == other.Reader &&
+		slices.Equal(l.Down, other.Down) && slices.Equal(l.Tops, other.Tops)
+}
+
 // flush sends evidence up the tree or, on a top node, judges it together with
 // that of the other domains and exchanges it with them.
 func (r *Reducer) flush(now mesh.Time, out *Effects) {
