Read chicory-load's settings from TOML and remove settings without effect

chicory-load took flags while all other binaries read TOML, its parser of settings had no user, and it computed a digest of its own that the development backend server does not send, so every answer counted as wrong. It now runs on internal/cli and settings.LoadGenerator and checks answers with internal/backend/echo. New keys: direct, max_in_flight, resend_share, report, plot. The key resends had no implementation and is removed. Direct calls carry an identity of their own, so that a paired call is not a resend.

chicory-node accepted the table protocol and the keys limits.calls_in_progress and limits.queue_per_instance, which no code read. They are now unknown keys.

The test of the options' faults moves to the settings, where the same faults are checked with file and line.

--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -3,16 +3,20 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicoryscale/chicoryscale/internal/backend/echo"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/settings"
 )
 
 func serve(t *testing.T, handler fasthttp.RequestHandler) string {
@@ -28,18 +32,26 @@
 	return l.Addr().String()
 }
 
-func echo(ctx *fasthttp.RequestCtx) {
-	ctx.Response.Header.SetBytesV(mesh.HeaderRequestID, ctx.Request.Header.Peek(mesh.HeaderRequestID))
-	ctx.Response.Header.Set(HeaderDigest, Digest(ctx.PostBody()))
+func answer(ctx *fasthttp.RequestCtx) {
+	answerTo(ctx, ctx.Request.Header.Peek(mesh.HeaderRequestID))
+}
+
+func answerTo(ctx *fasthttp.RequestCtx, id []byte) {
+	body, err := json.Marshal(echo.Answer{Digest: echo.Digest(ctx.Method(), ctx.RequestURI(), id, ctx.PostBody())})
+	if err != nil {
+		panic(err)
+	}
+	ctx.SetBody(body)
 	ctx.Response.Header.Set(mesh.HeaderOutcome, "answered")
 }
 
-func options(nodes ...string) *Options {
-	return &Options{
-		Nodes: nodes, Domain: "ifrane", Rate: 500, Duration: 200 * time.Millisecond, Timeout: 5 * time.Second, MaxInFlight: 100,
-		Classes: []ClassSpec{
-			{Name: "read", Method: "GET", Path: "/read", Weight: 3},
-			{Name: "write", Method: "POST", Path: "/write", BodyBytes: 64, Weight: 1, ResendShare: 0.5},
+func testSettings(targets ...string) *settings.LoadGenerator {
+	return &settings.LoadGenerator{
+		Targets: targets, FailureDomain: "ifrane", RatePerSecond: 500, Duration: 200 * time.Millisecond,
+		Timeout: 5 * time.Second, MaxInFlight: 100, Connections: 100,
+		Requests: []settings.LoadRequest{
+			{Name: "read", Method: "GET", Path: "/read", Weight: 3, Identity: true},
+			{Name: "write", Method: "POST", Path: "/write", BodyBytes: 64, Weight: 1, Identity: true, ResendShare: 0.5},
 		},
 	}
 }
@@ -56,16 +68,16 @@
 		seen[id]++
 		again := seen[id] > 1
 		mu.Unlock()
-		if echo(ctx); again {
+		if answer(ctx); again {
 			ctx.Response.Header.Set(mesh.HeaderOutcome, "may-have-run")
 		}
 	}
-	o := options(serve(t, node), serve(t, node))
-	o.Direct = serve(t, echo)
+	o := testSettings(serve(t, node), serve(t, node))
+	o.Direct = serve(t, answer)
 	r, err := Run(context.Background(), o)
 	is.NoErr(err)
 	var direct, answered int64
-	for i := range o.Classes {
+	for i := range o.Requests {
 		direct += r.Direct[i].Counts.Answered
 		answered += r.Nodes[i].Counts.Answered
 	}
@@ -87,13 +99,13 @@
 // Guards against a crossed answer that passes for a good one.
 func TestWrongAnswersAreCounted(t *testing.T) {
 	is := is.New(t)
-	o := options(serve(t, func(ctx *fasthttp.RequestCtx) {
-		echo(ctx)
-		ctx.Response.Header.Set(mesh.HeaderRequestID, "ifrane.other")
+	o := testSettings(serve(t, func(ctx *fasthttp.RequestCtx) {
+		answerTo(ctx, []byte("ifrane.other"))
 	}))
 	r, err := Run(context.Background(), o)
 	is.NoErr(err)
-	is.Equal(r.Nodes[0].Counts.Wrong, r.Nodes[0].Counts.Sent)
+	is.True(r.Nodes[0].Counts.Sent > 0)
+	is.Equal(r.Wrong(), r.Nodes[0].Counts.Sent+r.Nodes[1].Counts.Sent)
 	is.Equal(r.Nodes[0].Counts.Answered, int64(0))
 }
 
@@ -102,9 +114,9 @@
 func TestOpenLoop(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
-	o := options(serve(t, func(ctx *fasthttp.RequestCtx) { <-release; echo(ctx) }))
+	o := testSettings(serve(t, func(ctx *fasthttp.RequestCtx) { <-release; answer(ctx) }))
 	o.MaxInFlight = 10
-	o.Classes = o.Classes[:1]
+	o.Requests = o.Requests[:1]
 	timer := time.AfterFunc(o.Duration+100*time.Millisecond, func() { close(release) })
 	defer timer.Stop()
 	r, err := Run(context.Background(), o)
@@ -113,12 +125,15 @@
 	is.Equal(r.Dropped, int64(90))
 }
 
-// Guards against options that are reported one fault at a time.
-func TestCheckReportsAllFaults(t *testing.T) {
+// Guards against a warm-up that is part of the report, or that is not sent.
+func TestWarmupIsLeftOut(t *testing.T) {
 	is := is.New(t)
-	o := options("host:1")
-	o.Rate, o.Classes[0].Path = -1, "x"
-	err := o.Check()
-	is.True(err != nil)
-	is.Equal(strings.Count(err.Error(), "\n"), 2)
+	var received atomic.Int64
+	o := testSettings(serve(t, func(ctx *fasthttp.RequestCtx) { received.Add(1); answer(ctx) }))
+	o.Warmup = o.Duration / 2
+	o.Requests = o.Requests[:1]
+	r, err := Run(context.Background(), o)
+	is.NoErr(err)
+	is.Equal(received.Load(), int64(100))
+	is.Equal(r.Nodes[0].Counts.Sent, int64(50))
 }
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -23,8 +23,8 @@
 	{R: 44, G: 160, B: 44, A: 255}, {R: 148, G: 103, B: 189, A: 255},
 }
 
-// WriteSVG draws the latency of answered calls by percentile, one line per class
-// and path. Direct calls are dashed.
+// WriteSVG draws the latency of answered calls by percentile, one line per kind
+// of request and path. Direct calls are dashed.
 func (r *Report) WriteSVG(w io.Writer) error {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("Latency at %g calls/s", r.Rate)
@@ -56,14 +56,14 @@
 		}
 		line, err := plotter.NewLine(points)
 		if err != nil {
-			return fmt.Errorf("draw class %q: %w", s.Class, err)
+			return fmt.Errorf("draw request %q: %w", s.Request, err)
 		}
 		line.Color = plotColors[i%len(plotColors)]
 		if dashed {
 			line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
 		}
 		p.Add(line)
-		p.Legend.Add(string(s.Class)+" "+path, line)
+		p.Legend.Add(s.Request+" "+path, line)
 	}
 	return nil
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -6,7 +6,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/settings"
 )
 
 // Range of the latency histograms in microseconds.
@@ -44,28 +44,29 @@
 	Max  float64 `json:"max_ms"`
 }
 
-// Series is the result of the sends of one class over one path.
+// Series is the result of the sends of one kind of request over one path.
 type Series struct {
-	Class   mesh.Class `json:"class"`
-	Counts  Counts     `json:"counts"`
-	Latency Latency    `json:"latency"`
+	Request string  `json:"request"`
+	Counts  Counts  `json:"counts"`
+	Latency Latency `json:"latency"`
 
 	histogram *hdrhistogram.Histogram
 }
 
 // Report is the result of a run.
 type Report struct {
-	Rate    float64 `json:"rate_per_s"`
+	Rate float64 `json:"rate_per_s"`
+	// Seconds is the time for which calls started, without the warm-up.
 	Seconds float64 `json:"seconds"`
 	Seed    uint64  `json:"seed"`
 	Dropped int64   `json:"dropped"`
 	Resent  int64   `json:"resent"`
 	// AnsweredTwice counts identities for which two sends were answered. Answers to
-	// both are a fault for calls of a non-idempotent class only.
+	// both are a fault for non-idempotent requests only.
 	AnsweredTwice int64     `json:"answered_twice"`
 	Nodes         []*Series `json:"nodes"`
 	Direct        []*Series `json:"direct,omitempty"`
-	// AddedP50 and AddedP99 compare nodes with direct calls over all classes,
+	// AddedP50 and AddedP99 compare nodes with direct calls over all kinds of requests,
 	// in milliseconds.
 	AddedP50 *float64 `json:"added_p50_ms,omitempty"`
 	AddedP99 *float64 `json:"added_p99_ms,omitempty"`
@@ -77,19 +78,19 @@
 	report Report
 }
 
-func newRecorder(o *Options) *recorder {
-	r := &recorder{report: Report{Rate: o.Rate, Seed: o.Seed}}
-	for _, class := range o.Classes {
-		r.report.Nodes = append(r.report.Nodes, newSeries(class.Name))
-		if o.Direct != "" {
-			r.report.Direct = append(r.report.Direct, newSeries(class.Name))
+func newRecorder(s *settings.LoadGenerator) *recorder {
+	r := &recorder{report: Report{Rate: s.RatePerSecond, Seed: s.Seed}}
+	for i := range s.Requests {
+		r.report.Nodes = append(r.report.Nodes, newSeries(s.Requests[i].Name))
+		if s.Direct != "" {
+			r.report.Direct = append(r.report.Direct, newSeries(s.Requests[i].Name))
 		}
 	}
 	return r
 }
 
-func newSeries(class mesh.Class) *Series {
-	return &Series{Class: class, histogram: hdrhistogram.New(minMicros, maxMicros, significant)}
+func newSeries(request string) *Series {
+	return &Series{Request: request, histogram: hdrhistogram.New(minMicros, maxMicros, significant)}
 }
 
 func (r *recorder) add(series *Series, v verdict, latency time.Duration) {
@@ -111,7 +112,7 @@
 func (r *recorder) finish(elapsed time.Duration) *Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.report.Seconds = elapsed.Seconds()
+	r.report.Seconds = max(elapsed, 0).Seconds()
 	nodes, direct := summarise(r.report.Nodes), summarise(r.report.Direct)
 	if nodes.TotalCount() > 0 && direct.TotalCount() > 0 {
 		r.report.AddedP50 = added(nodes, direct, 50)
@@ -140,3 +141,15 @@
 	difference := millis(nodes, percentile) - millis(direct, percentile)
 	return &difference
 }
+
+// Wrong counts the answers that do not belong to their request, over all kinds
+// and paths.
+func (r *Report) Wrong() int64 {
+	var wrong int64
+	for _, all := range [...][]*Series{r.Nodes, r.Direct} {
+		for _, s := range all {
+			wrong += s.Counts.Wrong
+		}
+	}
+	return wrong
+}
--- a/internal/load/request.go
+++ b/internal/load/request.go
@@ -5,50 +5,53 @@
 	"math/rand/v2"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/google/uuid"
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicoryscale/chicoryscale/internal/backend/echo"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/settings"
 )
 
-// HeaderDigest is the header in which the development backend server returns
-// the digest of the request that it ran: Digest in lower-case hex.
-const HeaderDigest = "Chicory-Digest"
-
-// Digest returns the digest of a request: xxhash64 of its body.
-func Digest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
-
-// request is one request under one identity.
+// request is one request, under one identity if its kind has them.
 type request struct {
-	class    *ClassSpec
+	kind     *settings.LoadRequest
 	identity string
 	body     []byte
 	digest   string
 }
 
-// newRequest returns a request with a new identity and a random body.
-func newRequest(class *ClassSpec, domain mesh.FailureDomain, random *rand.Rand) (*request, error) {
-	id, err := uuid.NewV7()
-	if err != nil {
-		return nil, fmt.Errorf("create a request identity: %w", err)
+// newRequest returns a request with a random body and, for kinds with an
+// identity, a new one.
+func newRequest(kind *settings.LoadRequest, domain mesh.FailureDomain, random *rand.Rand) (*request, error) {
+	r := &request{kind: kind, body: make([]byte, kind.BodyBytes)}
+	for i := range r.body {
+		r.body[i] = 'a' + byte(random.UintN(26))
 	}
-	body := make([]byte, class.BodyBytes)
-	for i := range body {
-		body[i] = 'a' + byte(random.UintN(26))
+	if kind.Identity {
+		id, err := uuid.NewV7()
+		if err != nil {
+			return nil, fmt.Errorf("create a request identity: %w", err)
+		}
+		r.identity = string(domain) + "." + id.String()
 	}
-	return &request{class: class, identity: string(domain) + "." + id.String(), body: body, digest: Digest(body)}, nil
+	r.digest = echo.Digest([]byte(kind.Method), []byte(kind.Path), []byte(r.identity), r.body)
+	return r, nil
 }
 
 // write fills in the HTTP request for one send.
-func (r *request) write(req *fasthttp.Request, addr string, timeoutMillis int64) {
-	req.Header.SetMethod(r.class.Method)
-	req.Header.SetHost(addr)
-	req.SetRequestURI(r.class.Path)
-	req.URI().SetHost(addr)
-	req.URI().SetScheme("http")
-	req.Header.Set(mesh.HeaderRequestID, r.identity)
-	req.Header.Set(mesh.HeaderDeadline, strconv.FormatInt(timeoutMillis, 10))
+func (r *request) write(req *fasthttp.Request, addr string) {
+	req.Header.SetMethod(r.kind.Method)
+	req.SetRequestURI("http://" + addr + r.kind.Path)
+	if r.identity != "" {
+		req.Header.Set(mesh.HeaderRequestID, r.identity)
+	}
+	if r.kind.Service != "" {
+		req.Header.Set(mesh.HeaderService, string(r.kind.Service))
+	}
+	if r.kind.Deadline > 0 {
+		req.Header.Set(mesh.HeaderDeadline, strconv.FormatInt(r.kind.Deadline.Milliseconds(), 10))
+	}
 	req.SetBodyRaw(r.body)
 }
 
@@ -65,7 +68,8 @@
 	verdicts
 )
 
-// judge checks the answer to a request. Direct answers carry no outcome.
+// judge checks the answer to a request. Direct answers carry an outcome only
+// if they refuse the request.
 func (r *request) judge(resp *fasthttp.Response, err error, direct bool) verdict {
 	if err != nil {
 		return verdictNoAnswer
@@ -81,11 +85,12 @@
 			return verdictWrong
 		}
 	}
+	// The development backend server states the digest in failures too.
+	if _, err := echo.Check(resp.Body(), r.digest); err != nil {
+		return verdictWrong
+	}
 	if resp.StatusCode() >= fasthttp.StatusInternalServerError {
 		return verdictFailed
 	}
-	if string(resp.Header.Peek(mesh.HeaderRequestID)) != r.identity || string(resp.Header.Peek(HeaderDigest)) != r.digest {
-		return verdictWrong
-	}
 	return verdictAnswered
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -1,3 +1,6 @@
+// Package load is an open-loop load generator: it sends calls at a fixed rate,
+// whether or not earlier ones have been answered, checks that each answer
+// belongs to its request, and reports latency per kind of request.
 package load
 
 import (
@@ -8,17 +11,16 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-)
 
-const (
-	// maxConnsPerAddr limits the connections to one address.
-	maxConnsPerAddr = 4096
-	clientIdleTime  = 30 * time.Second
+	"github.com/chicoryscale/chicoryscale/internal/settings"
 )
 
+// clientIdleTime is the time after which an unused connection is closed.
+const clientIdleTime = 30 * time.Second
+
 // generator is one run.
 type generator struct {
-	opts     *Options
+	settings *settings.LoadGenerator
 	client   *fasthttp.Client
 	recorder *recorder
 	random   *rand.Rand // used by the scheduling goroutine alone
@@ -30,33 +32,36 @@
 // plan is what the scheduler has decided about one call.
 type plan struct {
 	due     time.Time
-	class   int
-	node    int
-	resend  int // index of the node for the second send, or -1
+	kind    int
+	target  int
+	resend  int // index of the target for the second send, or -1
 	request *request
+	// direct is the request for the backend server, under an identity of its
+	// own. It is nil without a paired comparison.
+	direct *request
+	// counted is false during the warm-up.
+	counted bool
 }
 
 // Run sends calls until the duration or the context ends, waits for their
-// answers and returns the report. The error states faults of the options.
-func Run(ctx context.Context, o *Options) (*Report, error) {
-	if err := o.Check(); err != nil {
-		return nil, err
-	}
+// answers and returns the report. The settings have been checked by their
+// parser.
+func Run(ctx context.Context, s *settings.LoadGenerator) (*Report, error) {
 	g := &generator{
-		opts: o, recorder: newRecorder(o), random: rand.New(rand.NewPCG(o.Seed, 1)),
+		settings: s, recorder: newRecorder(s), random: rand.New(rand.NewPCG(s.Seed, 1)),
 		client: &fasthttp.Client{
-			MaxConnsPerHost: maxConnsPerAddr, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: clientIdleTime,
+			MaxConnsPerHost: s.Connections, MaxConnWaitTimeout: s.Timeout, MaxIdemponentCallAttempts: 1, MaxIdleConnDuration: clientIdleTime,
 			RetryIfErr:               func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 			NoDefaultUserAgentHeader: true,
 		},
 	}
 	defer g.client.CloseIdleConnections()
-	for i := range o.Classes {
-		g.weights += o.Classes[i].Weight
+	for i := range s.Requests {
+		g.weights += s.Requests[i].Weight
 	}
 	start := time.Now()
 	err := g.schedule(ctx, start)
-	elapsed := time.Since(start)
+	elapsed := time.Since(start) - s.Warmup
 	g.calls.Wait()
 	return g.recorder.finish(elapsed), err
 }
@@ -66,36 +71,38 @@
 func (g *generator) schedule(ctx context.Context, start time.Time) error {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	total := int(g.opts.Rate * g.opts.Duration.Seconds())
+	total := int(g.settings.RatePerSecond * g.settings.Duration.Seconds())
 	for i := range total {
-		due := start.Add(time.Duration(float64(i) / g.opts.Rate * float64(time.Second)))
+		due := start.Add(time.Duration(float64(i) / g.settings.RatePerSecond * float64(time.Second)))
 		timer.Reset(time.Until(due))
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
 		}
-		if err := g.start(due); err != nil {
+		if err := g.start(due, due.Sub(start) >= g.settings.Warmup); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (g *generator) start(due time.Time) error {
-	p, err := g.plan(due)
+func (g *generator) start(due time.Time, counted bool) error {
+	p, err := g.plan(due, counted)
 	if err != nil {
 		return err
 	}
-	if g.inFlight.Load() >= int64(g.opts.MaxInFlight) {
-		g.recorder.update(func(r *Report) { r.Dropped++ })
+	if g.inFlight.Load() >= int64(g.settings.MaxInFlight) {
+		if counted {
+			g.recorder.update(func(r *Report) { r.Dropped++ })
+		}
 		return nil
 	}
-	g.spawn(func() { g.viaNodes(p) })
-	if g.opts.Direct != "" {
+	g.spawn(func() { g.viaNodes(&p) })
+	if p.direct != nil {
 		g.spawn(func() {
-			v := g.send(p.request, g.opts.Direct, true)
-			g.recorder.add(g.recorder.report.Direct[p.class], v, time.Since(p.due))
+			v := g.send(p.direct, g.settings.Direct, true)
+			g.record(&p, g.recorder.report.Direct[p.kind], v, time.Since(p.due))
 		})
 	}
 	return nil
@@ -109,32 +116,39 @@
 	})
 }
 
-func (g *generator) plan(due time.Time) (plan, error) {
-	p := plan{due: due, node: g.random.IntN(len(g.opts.Nodes)), resend: -1}
-	for pick := g.random.IntN(g.weights); pick >= g.opts.Classes[p.class].Weight; p.class++ {
-		pick -= g.opts.Classes[p.class].Weight
+func (g *generator) plan(due time.Time, counted bool) (plan, error) {
+	targets := g.settings.Targets
+	p := plan{due: due, target: g.random.IntN(len(targets)), resend: -1, counted: counted}
+	for pick := g.random.IntN(g.weights); pick >= g.settings.Requests[p.kind].Weight; p.kind++ {
+		pick -= g.settings.Requests[p.kind].Weight
 	}
-	class := &g.opts.Classes[p.class]
-	if g.random.Float64() < class.ResendShare {
-		p.resend = (p.node + 1) % len(g.opts.Nodes)
+	kind := &g.settings.Requests[p.kind]
+	if g.random.Float64() < kind.ResendShare {
+		p.resend = (p.target + 1) % len(targets)
 	}
 	var err error
-	p.request, err = newRequest(class, g.opts.Domain, g.random)
+	if p.request, err = newRequest(kind, g.settings.FailureDomain, g.random); err == nil && g.settings.Direct != "" {
+		p.direct, err = newRequest(kind, g.settings.FailureDomain, g.random)
+	}
 	return p, err
 }
 
-// viaNodes sends the call to its node and, if planned, a second time under the
-// same identity to another node. The second send follows the end of the first.
-func (g *generator) viaNodes(p plan) {
-	series := g.recorder.report.Nodes[p.class]
-	first := g.send(p.request, g.opts.Nodes[p.node], false)
-	g.recorder.add(series, first, time.Since(p.due))
+// viaNodes sends the call to its target and, if planned, a second time under
+// the same identity to another one. The second send follows the end of the
+// first.
+func (g *generator) viaNodes(p *plan) {
+	series := g.recorder.report.Nodes[p.kind]
+	first := g.send(p.request, g.settings.Targets[p.target], false)
+	g.record(p, series, first, time.Since(p.due))
 	if p.resend < 0 {
 		return
 	}
 	resent := time.Now()
-	second := g.send(p.request, g.opts.Nodes[p.resend], false)
-	g.recorder.add(series, second, time.Since(resent))
+	second := g.send(p.request, g.settings.Targets[p.resend], false)
+	g.record(p, series, second, time.Since(resent))
+	if !p.counted {
+		return
+	}
 	g.recorder.update(func(r *Report) {
 		r.Resent++
 		if ran(first) && ran(second) {
@@ -143,6 +157,13 @@
 	})
 }
 
+// record counts a send unless it belongs to the warm-up.
+func (g *generator) record(p *plan, series *Series, v verdict, latency time.Duration) {
+	if p.counted {
+		g.recorder.add(series, v, latency)
+	}
+}
+
 // ran reports whether the result shows that a backend server ran the request.
 func ran(v verdict) bool { return v == verdictAnswered || v == verdictFailed || v == verdictWrong }
 
@@ -150,8 +171,7 @@
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
-	r.write(req, addr, g.opts.Timeout.Milliseconds())
-	// The node answers by the deadline; the slack lets that answer arrive.
-	err := g.client.DoTimeout(req, resp, g.opts.Timeout+g.opts.Timeout/2)
+	r.write(req, addr)
+	err := g.client.DoTimeout(req, resp, g.settings.Timeout)
 	return r.judge(resp, err, direct)
 }
--- a/internal/runtime/bench_test.go
+++ b/internal/runtime/bench_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/gob"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -13,9 +14,11 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicoryscale/chicoryscale/internal/backend/echo"
 	"github.com/chicoryscale/chicoryscale/internal/core"
 	"github.com/chicoryscale/chicoryscale/internal/load"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/settings"
 )
 
 // BenchmarkAddedLatency compares calls through two nodes, and through one with
@@ -23,18 +26,25 @@
 // of them share one process, so the figures include its scheduling.
 func BenchmarkAddedLatency(b *testing.B) {
 	backend := startBackend(b, func(ctx *fasthttp.RequestCtx) {
-		ctx.Response.Header.SetBytesV(mesh.HeaderRequestID, ctx.Request.Header.Peek(mesh.HeaderRequestID))
-		ctx.Response.Header.Set(load.HeaderDigest, load.Digest(ctx.PostBody()))
+		id := ctx.Request.Header.Peek(mesh.HeaderRequestID)
+		body, err := json.Marshal(echo.Answer{Digest: echo.Digest(ctx.Method(), ctx.RequestURI(), id, ctx.PostBody())})
+		if err != nil {
+			panic(err)
+		}
+		ctx.SetBody(body)
 	})
 	entry, _, _ := pair(b, backend)
 	local := startNode(b, "local", &fakeStepper{host: "local", backend: backend})
 	for name, node := range map[string]*testNode{"remote": entry, "local": local} {
 		for _, rate := range []float64{200, 1000, 4000} {
 			b.Run(fmt.Sprintf("%s/%g", name, rate), func(b *testing.B) {
-				report, err := load.Run(context.Background(), &load.Options{
-					Nodes: []string{node.call}, Direct: backend, Domain: "ifrane", Rate: rate,
-					Duration: time.Duration(float64(b.N) / rate * float64(time.Second)), Timeout: testTimeout, MaxInFlight: 1000,
-					Classes: []load.ClassSpec{{Name: "write", Method: "POST", Path: "/x", BodyBytes: 512, Weight: 1}},
+				report, err := load.Run(context.Background(), &settings.LoadGenerator{
+					Targets: []string{node.call}, Direct: backend, FailureDomain: "ifrane", RatePerSecond: rate,
+					Duration: time.Duration(float64(b.N) / rate * float64(time.Second)), Timeout: testTimeout,
+					MaxInFlight: 1000, Connections: 1000,
+					Requests: []settings.LoadRequest{{
+						Name: "write", Method: "POST", Path: "/x", BodyBytes: 512, Weight: 1, Identity: true, Deadline: testTimeout,
+					}},
 				})
 				if err != nil || report.AddedP50 == nil || report.Nodes[0].Counts.Answered != int64(b.N) {
 					b.Fatalf("run failed: %v, report %+v", err, report)
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -14,7 +14,6 @@
 	// Seeds are control addresses of other nodes, for joining.
 	Seeds    []string
 	Platform PlatformClient
-	Protocol Protocol
 	Limits   Limits
 }
 
@@ -42,31 +41,8 @@
 	Connections int
 }
 
-// Protocol holds the intervals of the control protocols.
-type Protocol struct {
-	// PollInterval is the time between a reader's reads of the head.
-	PollInterval time.Duration
-	// HeartbeatInterval is the time between heartbeats on a tree edge.
-	HeartbeatInterval time.Duration
-	// AntiEntropyInterval is the time between exchanges with random members.
-	AntiEntropyInterval time.Duration
-	// SuspectAfter and DeadAfter are the times without a response after which
-	// a neighbour is suspect and dead.
-	SuspectAfter time.Duration
-	DeadAfter    time.Duration
-	// JoinBackoffBase and JoinBackoffCap bound the jittered wait of a join.
-	JoinBackoffBase time.Duration
-	JoinBackoffCap  time.Duration
-	// Fanout is the number of children of a node in the tree.
-	Fanout int
-}
-
 // Limits bound the resources of a node.
 type Limits struct {
-	// CallsInProgress is the largest number of calls in progress at the entry.
-	CallsInProgress int
-	// QueuePerInstance is the largest number of calls waiting for a slot.
-	QueuePerInstance int
 	// ConnectionsPerInstance is the size of the connection pool of an instance.
 	ConnectionsPerInstance int
 	// BodyBytes is the largest request or response body, in bytes.
@@ -87,7 +63,6 @@
 		Addresses:     readNodeAddresses(t.sub("addresses")),
 		Seeds:         t.addresses("seeds", 0, 32),
 		Platform:      readPlatformClient(t.sub("platform")),
-		Protocol:      readProtocol(t.sub("protocol")),
 		Limits:        readLimits(t.sub("limits")),
 	}
 }
@@ -120,27 +95,8 @@
 	return p
 }
 
-func readProtocol(t table) Protocol {
-	p := Protocol{
-		PollInterval:        t.millis("poll_interval_ms", 500*time.Millisecond, 50*time.Millisecond, time.Minute),
-		HeartbeatInterval:   t.millis("heartbeat_interval_ms", time.Second, 50*time.Millisecond, time.Minute),
-		AntiEntropyInterval: t.millis("anti_entropy_interval_ms", time.Second, 50*time.Millisecond, time.Minute),
-		SuspectAfter:        t.millis("suspect_after_ms", 3*time.Second, 100*time.Millisecond, 10*time.Minute),
-		DeadAfter:           t.millis("dead_after_ms", 5*time.Second, 100*time.Millisecond, 10*time.Minute),
-		JoinBackoffBase:     t.millis("join_backoff_base_ms", 100*time.Millisecond, time.Millisecond, time.Minute),
-		JoinBackoffCap:      t.millis("join_backoff_cap_ms", 5*time.Second, time.Millisecond, 10*time.Minute),
-		Fanout:              t.count("fanout", 6, 2, 64),
-	}
-	above(t, "suspect_after_ms", p.SuspectAfter, "heartbeat_interval_ms", p.HeartbeatInterval)
-	above(t, "dead_after_ms", p.DeadAfter, "suspect_after_ms", p.SuspectAfter)
-	above(t, "join_backoff_cap_ms", p.JoinBackoffCap, "join_backoff_base_ms", p.JoinBackoffBase)
-	return p
-}
-
 func readLimits(t table) Limits {
 	return Limits{
-		CallsInProgress:        t.count("calls_in_progress", 10_000, 1, 1_000_000),
-		QueuePerInstance:       t.count("queue_per_instance", 64, 0, 100_000),
 		ConnectionsPerInstance: t.count("connections_per_instance", 110, 1, 10_000),
 		BodyBytes:              t.count("body_bytes", 1<<20, 1<<10, 64<<20),
 		DrainGrace:             t.millis("drain_grace_ms", 30*time.Second, 0, 10*time.Minute),
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -21,17 +21,7 @@
 	is.Equal(string(n.Host), "ifrane-1")
 	is.Equal(len(n.Seeds), 2)
 	is.Equal(n.Platform, PlatformClient{"127.0.0.1:7900", "127.0.0.1:7900", time.Second, 4})
-	is.Equal(n.Protocol, Protocol{
-		PollInterval:        250 * time.Millisecond,
-		HeartbeatInterval:   time.Second,
-		AntiEntropyInterval: time.Second,
-		SuspectAfter:        3 * time.Second,
-		DeadAfter:           5 * time.Second,
-		JoinBackoffBase:     100 * time.Millisecond,
-		JoinBackoffCap:      5 * time.Second,
-		Fanout:              6,
-	})
-	is.Equal(n.Limits.ConnectionsPerInstance, 110)
+	is.Equal(n.Limits, Limits{ConnectionsPerInstance: 110, BodyBytes: 1 << 20, DrainGrace: 20 * time.Second, TimelineEvents: 4096})
 }
 
 // Guards against a file whose faults are found one run at a time, and against
@@ -50,8 +40,26 @@
 `+file+`8: addresses.control: "0.0.0.0:7002": peers cannot reach this address
 `+file+`11: platform.table: is an integer, want a string
 `+file+`12: platform.timeout_ms: is 5, want 10 to 60000
-`+file+`14: protocol.dead_after_ms: is 5s, want above protocol.suspect_after_ms, which is 5s
-`+file+`15: protocol.poll_interval: is not a known key`)
+`+file+`14: protocol: is not a known key
+`+file+`18: limits.body_bytes: is 10, want 1024 to 67108864
+`+file+`19: limits.queue_per_instance: is not a known key`)
+}
+
+// Guards against settings of chicory-load that contradict each other, and
+// against their faults being found one run at a time.
+func TestLoadGeneratorReportsEveryFault(t *testing.T) {
+	is := is.New(t)
+	_, err := Load("testdata/load-faults.toml", ParseLoadGenerator)
+	const file = "testdata/load-faults.toml:"
+	is.Equal(err.Error(), file+`3: rate_per_s: is 0, want 0.01 to 100000
+`+file+`4: duration_s: is 2s, want above warmup_s, which is 2s
+`+file+`8: plot: is the same path as report
+`+file+`12: requests[0].path: "roofs" does not start with a slash
+`+file+`13: requests[0].body_bytes: is 3, want 0 for GET
+`+file+`14: requests[0].deadline_ms: is 2s, want at most timeout_ms, which is 1s
+`+file+`15: requests[0].resend_share: needs identity = true
+`+file+`17: requests[1].name: "survey" is used twice
+`+file+`19: requests[1].resends: is not a known key`)
 }
 
 // Guards against settings of the other binaries that cannot be read.
@@ -71,7 +79,8 @@
 	l, err := Load("testdata/load.toml", ParseLoadGenerator)
 	is.NoErr(err)
 	is.Equal(l.Requests[1], LoadRequest{Name: "order", Weight: 2, Method: "POST", Path: "/roofs/orders",
-		BodyBytes: 512, Identity: true, Resends: 2})
+		BodyBytes: 512, Identity: true, ResendShare: 0.25})
+	is.Equal([]string{l.Direct, l.Report, l.Plot}, []string{"127.1.0.1:7100", "load.json", "load.svg"})
 	_, err = Load("testdata/none.toml", ParseCtl)
 	is.True(errors.Is(err, fs.ErrNotExist))
 }
@@ -95,7 +104,7 @@
 
 // Guards against a crash on malformed settings.
 func FuzzParse(f *testing.F) {
-	for _, name := range []string{"node", "node-faults", "ctl", "platform", "backend", "load"} {
+	for _, name := range []string{"node", "node-faults", "ctl", "platform", "backend", "load", "load-faults"} {
 		data, err := os.ReadFile("testdata/" + name + ".toml")
 		if err != nil {
 			f.Fatal(err)
