Bound the search in the fencing test and check the pause alone

Cause: without the check of the lease row the fencing test did not end. Change: the test gives up after 2 min of virtual time; a pause needs calls to the old version, which the pause test now checks. Result: both tests fail with their mechanism switched off and pass with it.

--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -91,10 +91,17 @@
 	is.Equal(r.Choose(testService, testRoute, 0).Version, mesh.BackendVersion("v2")) // a later step ends the pause
 }
 
-// Guards against a node that pauses the new version in a general outage.
+// Guards against a node that pauses the new version in a general outage, or
+// before calls to the old version show that there is none.
 func TestNodeDoesNotPauseWhenBothVersionsFail(t *testing.T) {
 	is := is.New(t)
 	r, _ := follower(state(1, Running, 5000))
+	alone := callTo("v2")
+	alone.Failed = true
+	for range pauseCalls {
+		r.Record(start, alone)
+	}
+	is.Equal(r.Choose(testService, testRoute, 0).Version, mesh.BackendVersion("v2"))
 	for range 100 {
 		for _, v := range []mesh.BackendVersion{"v2", "v1"} {
 			call := callTo(v)
--- a/internal/moves/movesim/failure_test.go
+++ b/internal/moves/movesim/failure_test.go
@@ -77,7 +77,7 @@
 	is.True(r.advance(10*time.Second, func() bool { return r.driver() != nil }))
 	paused := r.driver()
 	var delayed *platform.Request
-	for delayed == nil {
+	for end := r.c.Now.Add(2 * time.Minute); delayed == nil && r.c.Now < end; {
 		r.calls.arrivals()
 		r.c.Advance()
 		r.calls.finishCalls()
@@ -92,6 +92,7 @@
 		}
 		r.c.Execute(paused)
 	}
+	is.True(delayed != nil)
 	paused.Paused = true
 	before, _ := r.c.Table.Row("moves/" + string(moveID))
 	is.True(r.advance(10*time.Second, func() bool { n := r.driver(); return n != nil && n != paused }))
