--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/rpc"
 	"strings"
@@ -48,7 +49,7 @@
 	dialer := net.Dialer{Timeout: maxDialTime}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
-		return errors.Join(ErrNotSent, err)
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
 	}
 	client := rpc.NewClient(conn)
 	defer func() { _ = client.Close() }()
