--- a/internal/core/group_test.go
+++ b/internal/core/group_test.go
@@ -40,6 +40,7 @@
 	ran      int
 	log      []string
 	drained  map[string]bool
+	meter    *meter
 }
 
 type delivery struct {
@@ -94,6 +95,9 @@
 
 func (g *group) execute(host string, out *Ready) {
 	for i := range out.Sends {
+		if g.meter != nil {
+			g.meter.count(host, &out.Sends[i])
+		}
 		g.after(out.Sends[i].Addr, Event{Kind: KindEnvelope, Envelope: &out.Sends[i].Envelope})
 	}
 	for _, r := range out.Platform {
