Remove the second way to start and withdraw moves from package publish

Cause: package moves starts and withdraws moves itself, with a check against two moves of one service at once; the rows withdrawals/<id> were read by no one. Change: publish keeps configurations and their history only.

--- a/internal/platform/rows.go
+++ b/internal/platform/rows.go
@@ -12,10 +12,6 @@
 const (
 	// HeadKey is the row that names the accepted configuration.
 	HeadKey = "head"
-	// MovePrefix starts the keys of moves.
-	MovePrefix = "moves/"
-	// WithdrawalPrefix starts the keys of operators' requests to withdraw a move.
-	WithdrawalPrefix = "withdrawals/"
 
 	historyPrefix   = "history/"
 	operationPrefix = "operations/"
@@ -30,12 +26,6 @@
 // operator's operation.
 func OperationKey(operation string) string { return operationPrefix + operation }
 
-// MoveKey returns the key of a move's row.
-func MoveKey(move mesh.MoveID) string { return MovePrefix + string(move) }
-
-// WithdrawalKey returns the key of an operator's request to withdraw a move.
-func WithdrawalKey(move mesh.MoveID) string { return WithdrawalPrefix + string(move) }
-
 // Head is the value of the row HeadKey: the accepted configuration.
 type Head struct {
 	Version mesh.ConfigVersion `json:"version"`
@@ -68,15 +58,8 @@
 	Hash string `json:"hash"`
 }
 
-// Withdrawal is the value of a withdrawal row.
-type Withdrawal struct {
-	Operator string    `json:"operator"`
-	Reason   string    `json:"reason"`
-	Time     mesh.Time `json:"time_ns"`
-}
-
 // EncodeRow returns the table's form of a row value.
-func EncodeRow[T Head | History | Operation | Withdrawal](value T) []byte {
+func EncodeRow[T Head | History | Operation](value T) []byte {
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		// The types hold only strings and integers, which always encode.
@@ -86,7 +69,7 @@
 }
 
 // DecodeRow reads a row value. The error names the row's key.
-func DecodeRow[T Head | History | Operation | Withdrawal](row Row) (T, error) {
+func DecodeRow[T Head | History | Operation](row Row) (T, error) {
 	var value T
 	if err := json.Unmarshal(row.Value, &value); err != nil {
 		return value, fmt.Errorf("row %q: %w", row.Key, err)
--- a/internal/publish/limits.go
+++ b/internal/publish/limits.go
@@ -9,14 +9,12 @@
 const (
 	// MaxHistoryRows is the largest number of rows in one history reply.
 	MaxHistoryRows = 200
-	// MaxIDBytes is the longest operation or move ID, in bytes.
+	// MaxIDBytes is the longest operation ID, in bytes.
 	MaxIDBytes = 64
 	// MaxOperatorBytes is the longest name of an operator, in bytes.
 	MaxOperatorBytes = 128
 	// MaxNoteBytes is the longest note or reason, in bytes.
 	MaxNoteBytes = 1024
-	// MaxMoveRowBytes is the largest initial value of a move's row, in bytes.
-	MaxMoveRowBytes = 64 << 10
 )
 
 // reject returns the reply to an invalid request.
--- a/internal/publish/publish.go
+++ b/internal/publish/publish.go
@@ -67,18 +67,6 @@
 	p.start(now, ev.Request, ev.Deadline, f, refusal, out)
 }
 
-// StartMove starts the creation of a move.
-func (p *Publisher) StartMove(now mesh.Time, ev *StartMove, out *Effects) {
-	f, refusal := newMoveFlow(ev)
-	p.start(now, ev.Request, ev.Deadline, f, refusal, out)
-}
-
-// WithdrawMove starts the recording of a withdrawal.
-func (p *Publisher) WithdrawMove(now mesh.Time, ev *WithdrawMove, out *Effects) {
-	f, refusal := newWithdrawFlow(ev)
-	p.start(now, ev.Request, ev.Deadline, f, refusal, out)
-}
-
 // start begins a request, or replies at once to one that is refused.
 func (p *Publisher) start(now mesh.Time, id RequestID, deadline mesh.Time, f flow, refusal *Reply, out *Effects) {
 	if refusal == nil && len(p.requests) >= MaxRequests {
--- a/internal/publish/types.go
+++ b/internal/publish/types.go
@@ -41,27 +41,6 @@
 	Deadline mesh.Time
 }
 
-// StartMove asks for the row of a new move to be created.
-type StartMove struct {
-	Request   RequestID
-	Operation OperationID
-	Move      mesh.MoveID
-	// Row is the initial value of the row, encoded by the move driver's package.
-	Row      []byte
-	Deadline mesh.Time
-}
-
-// WithdrawMove records an operator's request to withdraw a move. The move
-// driver reads it and writes the move's row.
-type WithdrawMove struct {
-	Request   RequestID
-	Operation OperationID
-	Move      mesh.MoveID
-	Operator  string
-	Reason    string
-	Deadline  mesh.Time
-}
-
 // Status tells how a request ended.
 type Status uint8
 
@@ -69,8 +48,7 @@
 const (
 	// Done means that the request took effect, now or at an earlier send.
 	Done Status = iota + 1
-	// Conflict means that the head is not at the base, or that the move
-	// already exists; nothing was changed.
+	// Conflict means that the head is not at the base; nothing was changed.
 	Conflict
 	// Rejected means that the request is invalid; nothing was changed.
 	Rejected
