--- a/internal/backend/server.go
+++ b/internal/backend/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicoryscale/chicoryscale/internal/httplog"
 	"github.com/chicoryscale/chicoryscale/internal/settings"
 )
 
@@ -63,16 +64,11 @@
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		Logger:                quietLogger{},
+		Logger:                httplog.Quiet{},
 	}
 	return s
 }
 
-// quietLogger drops fasthttp's lines about connections that peers close.
-type quietLogger struct{}
-
-func (quietLogger) Printf(string, ...any) {}
-
 // Run serves connections of ln until ctx is cancelled. It then drains: it
 // tells the node, refuses further calls as not run, and returns once the calls
 // in progress have ended or the grace period is over. It closes ln.
--- a/internal/platform/standin/server.go
+++ b/internal/platform/standin/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicoryscale/chicoryscale/internal/httplog"
 	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/platform/memstore"
 	"github.com/chicoryscale/chicoryscale/internal/platform/wire"
@@ -63,16 +64,11 @@
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		CloseOnShutdown:       true,
-		Logger:                quietLogger{},
+		Logger:                httplog.Quiet{},
 	}
 	return s
 }
 
-// quietLogger drops fasthttp's lines about connections that peers close.
-type quietLogger struct{}
-
-func (quietLogger) Printf(string, ...any) {}
-
 // Run serves connections of ln until ctx is cancelled. It then waits for
 // requests in progress. It closes ln.
 func (s *Server) Run(ctx context.Context, ln net.Listener) error {
--- a/internal/runtime/node.go
+++ b/internal/runtime/node.go
@@ -13,6 +13,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/connpool"
 	"github.com/chicoryscale/chicoryscale/internal/core"
 	"github.com/chicoryscale/chicoryscale/internal/hlc"
+	"github.com/chicoryscale/chicoryscale/internal/httplog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/timeline"
 )
@@ -113,7 +114,7 @@
 	return &fasthttp.Server{
 		Handler: n.guard(handler), Name: "chicory-node", NoDefaultServerHeader: true,
 		MaxRequestBodySize: n.opts.MaxBodyBytes, ReadTimeout: serverReadTimeout, IdleTimeout: serverIdleTimeout,
-		ErrorHandler: n.refuseUnread, Concurrency: serverConcurrency, CloseOnShutdown: true, Logger: quietLogger{},
+		ErrorHandler: n.refuseUnread, Concurrency: serverConcurrency, CloseOnShutdown: true, Logger: httplog.Quiet{},
 	}
 }
 
@@ -126,12 +127,6 @@
 	}
 }
 
-// quietLogger drops fasthttp's own lines about single connections.
-type quietLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (quietLogger) Printf(string, ...any) {}
-
 // guard answers a panic of a handler and, while draining, asks the peer to use
 // another connection.
 func (n *Node) guard(handler fasthttp.RequestHandler) fasthttp.RequestHandler {
