--- a/internal/runtime/fake_test.go
+++ b/internal/runtime/fake_test.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/chicoryscale/chicoryscale/internal/core"
+	"github.com/chicoryscale/chicoryscale/internal/httplog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/platform"
 )
@@ -129,7 +130,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &fasthttp.Server{Handler: handler, Logger: quietLogger{}}
+	server := &fasthttp.Server{Handler: handler, Logger: httplog.Quiet{}}
 	finished := make(chan struct{})
 	go func() { defer close(finished); _ = server.Serve(l) }()
 	t.Cleanup(func() { _ = server.Shutdown(); <-finished })
