Deliver the first envelope to a restarted peer

A control connection that the peer had closed was noticed only by the next envelope, which was lost, and answers due during a back-off of up to 5 s were lost too. A restarted reader waited 1.5 s for each lost content before it asked elsewhere. A connection found closed before anything was sent is now replaced at once, and the back-off is at most 1 s.

--- a/internal/runtime/peers.go
+++ b/internal/runtime/peers.go
@@ -1,6 +1,7 @@
 package runtime
 
 import (
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -16,9 +17,11 @@
 	peerQueue = 64
 	// peerIdle is the time without envelopes after which a connection is closed.
 	peerIdle = 30 * time.Second
-	// Bounds of the back-off between connection attempts, with full jitter.
+	// Bounds of the back-off between connection attempts, with full jitter. A
+	// host that restarts waits for answers, and those due during the back-off
+	// are lost, so the cap is below the timeouts of the requests.
 	backoffBase = 100 * time.Millisecond
-	backoffCap  = 5 * time.Second
+	backoffCap  = time.Second
 )
 
 // peerSet holds the persistent control connections to other nodes.
@@ -111,28 +114,43 @@
 	}
 }
 
+// deliver sends an envelope and waits for its acknowledgement. A connection
+// that the peer has closed since the last envelope is replaced at once: nothing
+// was sent on it, and after a restart the peer waits for this answer.
 func (p *peer) deliver(env *core.Envelope) error {
+	reused := p.client != nil
 	if err := p.connect(); err != nil {
 		return err
 	}
+	err := p.call(env)
+	if reused && errors.Is(err, rpc.ErrShutdown) {
+		p.disconnect()
+		if err := p.connect(); err != nil {
+			return err
+		}
+		err = p.call(env)
+	}
+	if err != nil {
+		p.fail()
+		return failure(ErrSend, "deliver", p.addr, err)
+	}
+	p.failing = 0
+	return nil
+}
+
+// call sends an envelope over the open connection.
+func (p *peer) call(env *core.Envelope) error {
 	call := p.client.Go(methodDeliver, env, new(Ack), make(chan *rpc.Call, 1))
 	timer := time.NewTimer(controlTimeout)
 	defer timer.Stop()
-	var err error
 	select {
 	case <-call.Done:
-		err = call.Error
+		return call.Error
 	case <-timer.C:
-		err = ErrTimeout.New("no acknowledgement within %v", controlTimeout)
+		return ErrTimeout.New("no acknowledgement within %v", controlTimeout)
 	case <-p.set.stop:
-		err = ErrSend.New("node is stopping")
-	}
-	if err != nil {
-		p.fail()
-		return failure(ErrSend, "deliver", p.addr, err)
+		return ErrSend.New("node is stopping")
 	}
-	p.failing = 0
-	return nil
 }
 
 // connect opens the connection unless it is open. During the back-off it fails
