core: end relayed calls and calls whose result is lost

A call whose attempt result never came stayed in the node for ever and kept a graceful stop from ending. A claim that was granted after the call's deadline started an attempt with a negative remaining time.

The reducer now ends calls 100 ms after their deadline as may-have-run, records relayed calls, passes one that did not reach its peer to another, and checks the deadline before an attempt.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -14,7 +14,8 @@
 
 // call is a call in progress at its entry node.
 type call struct {
-	id          mesh.CallID
+	id mesh.CallID
+	// route is nil for a call that was relayed.
 	route       *config.ResolvedRoute
 	retry       retry.Call
 	deadline    mesh.Time
@@ -28,7 +29,8 @@
 	sent   bool
 	sentAt mesh.Time
 	target routing.Target
-	// hosts and instances hold the targets of earlier attempts.
+	// hosts and instances hold the targets of earlier attempts, hosts also the
+	// peer that a call was relayed to.
 	hosts     []mesh.HostID
 	instances []mesh.InstanceID
 }
@@ -106,36 +108,6 @@
 	return time.Duration(millis) * time.Millisecond
 }
 
-// relayed passes a call to a node that knows its version floor, because this
-// one may apply no configuration yet or may not know the moves. It reports
-// whether it did.
-func (n *Node) relayed(ev *Event, out *Ready) bool {
-	if ev.Call.Relayed || (n.accepted != nil && !n.waitsForMoves(ev.Now)) {
-		return false
-	}
-	to := n.establishedPeer(ev.Seed)
-	if to == nil {
-		return false
-	}
-	n.counters.Relayed++
-	out.Calls = append(out.Calls, CallEffect{
-		Call: ev.Call.Call, Action: CallRelay, Host: to.Host, Addr: to.CallAddr,
-		Deadline: ev.Now.Add(relayTime(&ev.Call)),
-	})
-	return true
-}
-
-// maxRelayTime bounds a relayed call whose caller states no deadline. The node
-// that accepts it applies the deadline of the class.
-const maxRelayTime = 30 * time.Second
-
-func relayTime(in *CallArrived) time.Duration {
-	if in.DeadlineMillis == 0 {
-		return maxRelayTime
-	}
-	return time.Duration(in.DeadlineMillis) * time.Millisecond
-}
-
 // rejectEarly rejects a call before its class and claim are known. An earlier
 // send of a request with an identity may have run, so only a call without one
 // is surely not run.
@@ -192,8 +164,13 @@
 	n.endCall(c)
 }
 
-// attempt chooses a target and forwards the awaited attempt to it.
+// attempt chooses a target and forwards the awaited attempt to it. A claim may
+// take longer than the call has, so the deadline is checked here.
 func (n *Node) attempt(now mesh.Time, seed uint64, c *call, out *Ready) {
+	if now >= c.deadline {
+		n.finish(now, c, n.retrier.NoTarget(&c.retry, mesh.ReasonDeadline), out)
+		return
+	}
 	choice := n.choose(now, seed, c)
 	if choice.Miss != routing.MissNone {
 		n.finish(now, c, n.retrier.NoTarget(&c.retry, mesh.ReasonNoTarget), out)
@@ -240,6 +217,10 @@
 func (n *Node) attemptDone(ev *Event, out *Ready) {
 	in := &ev.Attempt
 	c := n.calls[in.Call]
+	if c != nil && c.route == nil {
+		n.relayDone(ev, c, out)
+		return
+	}
 	if c == nil || !c.sent || in.Attempt != c.retry.Attempt() {
 		n.counters.LateAnswers++
 		return
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -10,8 +10,12 @@
 	"github.com/chicoryscale/chicoryscale/internal/publish"
 )
 
-func ready(t testing.TB) *group {
-	g := newGroup(t, "ifrane-1", "ifrane-2", "azrou-1", "azrou-2")
+func ready(t testing.TB) *group { return readyOn(t, "ifrane-1", "ifrane-2", "azrou-1", "azrou-2") }
+
+// readyOn starts nodes with a backend server each and a configuration in force.
+func readyOn(t testing.TB, hosts ...string) *group {
+	t.Helper()
+	g := newGroup(t, hosts...)
 	g.run(3 * time.Second)
 	for _, h := range g.hosts {
 		g.announce(h, "v1")
--- a/internal/core/group_test.go
+++ b/internal/core/group_test.go
@@ -38,15 +38,22 @@
 	results  map[mesh.CallID]CallEffect
 	replies  map[uint64]OperatorReply
 	ran      int
-	log      []string
-	drained  map[string]bool
-	meter    *meter
+	// identities counts the request identities that were created.
+	identities int
+	requests   uint64
+	log        []string
+	drained    map[string]bool
+	meter      *meter
+	faults
 }
 
+// delivery is an event for one process of a host, or an action of the test.
 type delivery struct {
 	at   mesh.Time
 	host string
+	node *Node
 	ev   Event
+	do   func()
 }
 
 type gateKey struct {
@@ -64,7 +71,7 @@
 	g := &group{
 		t: t, now: mesh.Time(time.Hour), nodes: map[string]*Node{}, hosts: hosts, store: memstore.New(),
 		cut: map[string]bool{}, gates: map[gateKey]attemptKey{}, results: map[mesh.CallID]CallEffect{}, crashes: map[mesh.CallID]uint8{},
-		replies: map[uint64]OperatorReply{}, drained: map[string]bool{},
+		replies: map[uint64]OperatorReply{}, drained: map[string]bool{}, faults: newFaults(),
 	}
 	for _, h := range hosts {
 		g.start(h)
@@ -89,7 +96,14 @@
 	g.seed++
 	ev.Now, ev.Seed = g.now, mix(g.seed)
 	var out Ready
+	if g.before != nil {
+		g.before(host, &ev)
+	}
 	n.Step(&ev, &out)
+	if g.after != nil {
+		g.after(host, &out)
+	}
+	g.settleRelay(host, &ev, &out)
 	g.execute(host, &out)
 }
 
@@ -98,14 +112,16 @@
 		if g.meter != nil {
 			g.meter.count(host, &out.Sends[i])
 		}
-		g.after(out.Sends[i].Addr, Event{Kind: KindEnvelope, Envelope: &out.Sends[i].Envelope})
+		if g.reaches(host, out.Sends[i].Addr) {
+			g.deliver(out.Sends[i].Addr, Event{Kind: KindEnvelope, Envelope: &out.Sends[i].Envelope})
+		}
 	}
 	for _, r := range out.Platform {
 		res := platform.Result{ID: r.Request.ID, Op: r.Request.Op, Status: platform.Unknown}
 		if !g.cut[host] {
 			res = g.store.Execute(&r.Request)
 		}
-		g.after(host, Event{Kind: KindPlatform, Platform: &PlatformResult{Owner: r.Owner, Result: res}})
+		g.deliver(host, Event{Kind: KindPlatform, Platform: &PlatformResult{Owner: r.Owner, Result: res}})
 	}
 	for _, c := range out.Calls {
 		g.call(host, c)
@@ -136,20 +152,18 @@
 	case CallForward:
 		g.nextGate++
 		g.gates[gateKey{c.Addr, g.nextGate}] = attemptKey{host, c.Call, c.Attempt}
-		if g.nodes[c.Addr] == nil {
+		if g.nodes[c.Addr] == nil || !g.reaches(host, c.Addr) {
 			g.attemptDone(c.Addr, g.nextGate, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonConnectionLost})
 			return
 		}
-		g.after(c.Addr, Event{Kind: KindGateArrived, Gate: GateArrived{
+		g.deliver(c.Addr, Event{Kind: KindGateArrived, Gate: GateArrived{
 			Call: g.nextGate, Instance: c.Instance, Priority: c.Priority, Idempotent: c.Idempotent, Crashes: c.Crashes,
-			DeadlineMillis: uint32(c.Deadline.Sub(g.now) / time.Millisecond),
+			Fingerprint: g.arrivals[c.Call].Fingerprint, DeadlineMillis: uint32(c.Deadline.Sub(g.now) / time.Millisecond),
 		}})
 	case CallRelay:
-		g.after(c.Addr, Event{Kind: KindCallArrived, Call: CallArrived{
-			Call: c.Call, Method: []byte("GET"), Path: []byte("/stock/7"), Relayed: true,
-		}})
+		g.relay(host, c)
 	default:
-		g.results[c.Call] = c
+		g.end(host, c)
 	}
 }
 
@@ -166,12 +180,34 @@
 	if g.backend != nil {
 		done = g.backend(host, e.Version)
 	}
+	if g.backendOf != nil {
+		done = g.backendOf(g.gates[gateKey{host, e.Call}].call)
+	}
 	if done.Result == 0 {
 		return // the backend server is still at work
 	}
 	if done.Result == GateAnswered || done.Result == GateLost {
 		g.ran++
+		g.runs[g.gates[gateKey{host, e.Call}].call]++
+	}
+	if g.busy == nil {
+		g.gateDone(host, e, done)
+		return
 	}
+	n, crashes := g.nodes[host], g.crashed[host]
+	g.later(g.busy(), func() {
+		if done.Crashed {
+			g.crashed[host]++
+		} else if g.crashed[host] != crashes {
+			done = GateDone{Result: GateLost, Crashed: true} // ended with the backend server
+		}
+		if g.nodes[host] == n {
+			g.gateDone(host, e, done)
+		}
+	})
+}
+
+func (g *group) gateDone(host string, e GateEffect, done GateDone) {
 	done.Call = e.Call
 	g.step(host, Event{Kind: KindGateDone, GateDone: done})
 	result := AttemptDone{Outcome: mesh.Answered, Failed: done.Failed, Crashed: done.Crashed, Crashes: g.crashes[e.Call], Load: e.Load, HasLoad: true}
@@ -188,11 +224,13 @@
 	key := g.gates[gateKey{gateHost, id}]
 	delete(g.gates, gateKey{gateHost, id})
 	a.Call, a.Attempt = key.call, key.attempt
-	g.after(key.host, Event{Kind: KindAttemptDone, Attempt: a})
-}
-
-func (g *group) after(host string, ev Event) {
-	g.queue = append(g.queue, delivery{at: g.now.Add(delay), host: host, ev: ev})
+	if a.Outcome == mesh.Answered {
+		g.answered[key] = true
+	}
+	if !g.reaches(gateHost, key.host) || (g.lose != nil && g.lose()) {
+		return
+	}
+	g.deliver(key.host, Event{Kind: KindAttemptDone, Attempt: a})
 }
 
 // run advances virtual time in steps of one millisecond.
@@ -202,7 +240,11 @@
 		for len(g.queue) > 0 && g.queue[0].at <= g.now {
 			next := g.queue[0]
 			g.queue = g.queue[1:]
-			g.step(next.host, next.ev)
+			if next.do != nil {
+				next.do()
+			} else if next.node == g.nodes[next.host] {
+				g.step(next.host, next.ev)
+			}
 		}
 		if g.now%mesh.Time(TickInterval) == 0 {
 			for _, h := range g.hosts {
@@ -258,6 +300,14 @@
 
 // apply publishes testConfig through a host and waits until it is in force.
 func (g *group) apply(host string, base mesh.ConfigVersion, operation string) OperatorReply {
+	g.t.Helper()
+	id := g.startApply(host, base, operation)
+	g.run(4 * time.Second)
+	return g.replies[id]
+}
+
+// startApply publishes testConfig and returns the number of the request.
+func (g *group) startApply(host string, base mesh.ConfigVersion, operation string) uint64 {
 	g.t.Helper()
 	snapshot, err := config.ParseTOML("test.toml", []byte(testConfig))
 	if err != nil {
@@ -267,26 +317,24 @@
 	if err != nil {
 		g.t.Fatal(err)
 	}
-	id := uint64(1000 + len(g.replies))
+	g.requests++
+	id := 1000 + g.requests
 	g.step(host, Event{Kind: KindOperator, Operator: &OperatorRequest{ID: id, Apply: &ApplyRequest{
 		Operation: publish.OperationID(operation), Operator: "amina", Base: base, Snapshot: encoded,
 	}}})
-	g.run(4 * time.Second)
-	return g.replies[id]
+	return id
 }
 
 // lookup sends an idempotent call and returns its result.
 func (g *group) lookup(host string, id mesh.CallID) CallEffect {
-	g.step(host, Event{Kind: KindCallArrived, Call: CallArrived{Call: id, Method: []byte("GET"), Path: []byte("/stock/7")}})
+	g.send(host, CallArrived{Call: id, Method: []byte("GET"), Path: []byte("/stock/7")})
 	g.run(time.Second)
 	return g.results[id]
 }
 
 // order sends a non-idempotent call with an identity.
 func (g *group) order(host string, id mesh.CallID, identity string) CallEffect {
-	g.step(host, Event{Kind: KindCallArrived, Call: CallArrived{
-		Call: id, Method: []byte("POST"), Path: []byte("/orders"), RequestID: []byte(identity),
-	}})
+	g.send(host, orderCall(id, identity))
 	g.run(time.Second)
 	return g.results[id]
 }
@@ -298,6 +346,7 @@
 	for i := range 6 {
 		u[i] = byte(ms >> (40 - 8*i))
 	}
-	u[6], u[8], u[15] = 0x70, 0x80, byte(g.seed)
+	g.identities++
+	u[6], u[8], u[14], u[15] = 0x70, 0x80, byte(g.identities>>8), byte(g.identities)
 	return domain + "." + u.String()
 }
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -69,6 +69,7 @@
 	poisonVersion uint64
 	applies       map[uint64][]byte
 	drainedAt     mesh.Time
+	expireAt      mesh.Time
 
 	scratch scratch
 }
@@ -84,6 +85,7 @@
 	instances []routing.Instance
 	inFlight  []mesh.Fingerprint
 	entries   []poison.Entry
+	expired   []mesh.CallID
 	outbox    outbox
 }
 
--- a/internal/core/tick.go
+++ b/internal/core/tick.go
@@ -1,6 +1,8 @@
 package core
 
 import (
+	"slices"
+
 	"github.com/chicoryscale/chicoryscale/internal/membership"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/moves"
@@ -19,6 +21,7 @@
 	n.flushPublish(now, out)
 	n.tickMoves(now, out)
 	n.tickClaims(ev, out)
+	n.expireCalls(now, out)
 	n.poison.Expire(now)
 	n.removeExpired(now)
 	n.scratch.gate = n.gate.Tick(now, n.scratch.gate)
@@ -137,27 +140,27 @@
 }
 
 // establishedPeer returns a random live node that knows its version floor,
-// of the own failure domain if it has one.
-func (n *Node) establishedPeer(seed uint64) *membership.Record {
-	if m := n.establishedIn(n.settings.Domain, seed); m != nil {
+// of the own failure domain if it has one, other than the excluded ones.
+func (n *Node) establishedPeer(seed uint64, excluded []mesh.HostID) *membership.Record {
+	if m := n.establishedIn(n.settings.Domain, seed, excluded); m != nil {
 		return m
 	}
 	for _, d := range n.members.Domains() {
 		if n.members.Unreachable(d) {
 			continue
 		}
-		if m := n.establishedIn(d, seed); m != nil {
+		if m := n.establishedIn(d, seed, excluded); m != nil {
 			return m
 		}
 	}
 	return nil
 }
 
-func (n *Node) establishedIn(d mesh.FailureDomain, seed uint64) *membership.Record {
+func (n *Node) establishedIn(d mesh.FailureDomain, seed uint64, excluded []mesh.HostID) *membership.Record {
 	members := n.members.Members(d)
 	for i := range members {
 		m := members[(i+int(seed%uint64(len(members))))%len(members)]
-		if m.Established && m.Host != n.settings.Host {
+		if m.Established && m.Host != n.settings.Host && !slices.Contains(excluded, m.Host) {
 			return m
 		}
 	}
