Spread content fetches over the failure domain after a return

The object store came only after 8 pulls. - A repeated pull moved to the end of the queue, and requests of peers that had turned elsewhere were still served: 824 full copies for 650 nodes. - A reader that did not have the record of a joining node could not address its answer, so one node waited 5.4 s for a fresh head.

Change: after the first pull full content is asked of any other member of the failure domain, the object store after 3 pulls; a pull times out after 700 ms; a queued request keeps its place and expires with its pull; a node that waits for a peer without the content turns to one that offers it; every third fresh head request goes to the parent, which has the sender's record.

--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -22,6 +23,7 @@
 func (f *fixedTopology) Children() []mesh.HostID                  { return f.children }
 func (f *fixedTopology) IsReader() bool                           { return f.reader }
 func (f *fixedTopology) Readers(mesh.FailureDomain) []mesh.HostID { return nil }
+func (f *fixedTopology) Hosts(mesh.FailureDomain) []mesh.HostID   { return slices.Clone(f.children) }
 func (f *fixedTopology) Domains() []mesh.FailureDomain            { return []mesh.FailureDomain{"ifrane"} }
 func (f *fixedTopology) LiveCount(mesh.FailureDomain) int         { return 1 + len(f.children) }
 func (f *fixedTopology) Links() []mesh.HostID                     { return f.children }
@@ -199,3 +201,37 @@
 		is.Equal(h.dist.Aggregate(1), []byte{14})
 	}
 }
+
+// Guards against a joining node that asks a busy peer again and again while
+// other members of its failure domain could serve it.
+func TestFullContentComesFromAnotherMember(t *testing.T) {
+	is := is.New(t)
+	r, out := newReducer("a", "b"), Output{}
+	r.setFloor(Head{}, &out)
+	r.Receive(simEpoch, "a", &Message{Push: &Push{Head: Head{Version: 1, Hash: "h"}}}, &out)
+	is.Equal(out.Sends[0].To, mesh.HostID("a"))
+	out.Reset()
+	r.Tick(simEpoch.Add(fullPullTimeout), 1, &out)
+	is.Equal(out.Sends[0].To, mesh.HostID("b"))
+	is.True(out.Sends[0].Message.Pull != nil)
+}
+
+// Guards against a repeated request that loses its place, and against a second
+// copy for a peer that has turned to another source.
+func TestQueuedRequestsKeepPlaceAndExpire(t *testing.T) {
+	is := is.New(t)
+	r, out := newReducer(), Output{}
+	r.Published(simEpoch, Head{Version: 1, Hash: lineContent{}.Hash(goodContent)}, goodContent, &out)
+	out.Reset()
+	r.Tick(simEpoch, 1, &out)
+	r.serve.budget = -10_000
+	for i, host := range []mesh.HostID{"a", "b", "a"} {
+		r.Receive(simEpoch.Add(time.Duration(i)), host, &Message{Pull: &Pull{Want: 1}}, &out)
+	}
+	is.Equal(r.serve.requests[0].host, mesh.HostID("a"))
+	is.Equal(len(r.serve.requests), 2)
+	out.Reset()
+	r.Tick(simEpoch.Add(time.Minute), 1, &out)
+	is.Equal(len(out.Sends), 0)
+	is.Equal(len(r.serve.requests), 0)
+}
--- a/internal/distribution/fetch.go
+++ b/internal/distribution/fetch.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
@@ -13,15 +14,16 @@
 	// deltaPullTimeout and fullPullTimeout are the times after which another
 	// source is asked.
 	deltaPullTimeout = 400 * time.Millisecond
-	fullPullTimeout  = 1500 * time.Millisecond
+	fullPullTimeout  = 700 * time.Millisecond
 	// pushPatience is the time that a reader waits for a push of a version that
 	// it learned from the platform, before it reads the object store.
 	pushPatience = 250 * time.Millisecond
 	// readerPulls and memberPulls are the numbers of pulls from peers before
-	// the object store is read. Members that are no readers wait longer, as
-	// there are many of them.
+	// the object store is read. Members that are no readers ask once more, as
+	// there are many of them. Each pull may take fullPullTimeout, and all of
+	// them must leave time for the read within the target of 4 s.
 	readerPulls = 2
-	memberPulls = 8
+	memberPulls = 3
 	// objectTimeout is the time after which a read of the object store is
 	// given up.
 	objectTimeout = 5 * time.Second
@@ -106,21 +108,30 @@
 	f.deadline = now.Add(fullPullTimeout + time.Duration(rng.Int64N(int64(fullPullTimeout))))
 }
 
-// offerSource asks a peer that holds the target if no other peer is asked.
+// offerSource asks a peer that holds the target, unless a peer that is known
+// to hold it has been asked already.
 func (r *Reducer) offerSource(now mesh.Time, from mesh.HostID, out *Output) {
 	if !r.missing() {
 		return
 	}
 	r.fetchTarget(now, "", out)
-	if target := r.fetch.version; !r.fetch.asked && r.heldBy(from) >= target {
+	target := r.fetch.version
+	waiting := r.fetch.asked && (r.fetch.last == from || r.heldBy(r.fetch.last) >= target)
+	if !waiting && r.heldBy(from) >= target {
 		r.pull(now, from, Pull{Want: target, Have: r.contents.newestUpTo(target)}, out)
 	}
 }
 
-// sources returns the peers that are known to hold a version, without the one
-// that was asked last if there is another. Without any it is the parent, which
-// answers once it has the version itself.
+// sources returns the peers to ask for a version. A delta comes from a known
+// holder, as any of them can serve it. Full content comes from the parent at
+// first and then from any member of the failure domain: the few holders that
+// joining nodes know of would have to serve all of them.
 func (r *Reducer) sources(v mesh.ConfigVersion) []mesh.HostID {
+	if r.contents.newestUpTo(v) == 0 && r.fetch.attempts > 0 {
+		if hosts := r.otherMembers(); len(hosts) > 0 {
+			return hosts
+		}
+	}
 	var hosts []mesh.HostID
 	for _, host := range sortedKeys(r.peers) {
 		if r.peers[host].held >= v && host != r.fetch.last {
@@ -139,6 +150,14 @@
 	return hosts
 }
 
+// otherMembers returns the live members of the local failure domain without
+// this host and the peer that was asked last.
+func (r *Reducer) otherMembers() []mesh.HostID {
+	return slices.DeleteFunc(r.topology.Hosts(r.settings.Domain), func(host mesh.HostID) bool {
+		return host == r.settings.Host || host == r.fetch.last
+	})
+}
+
 // readObject reads the content from the object store, after the history row
 // if the hash is not known.
 func (r *Reducer) readObject(now mesh.Time, out *Output) {
--- a/internal/distribution/floor.go
+++ b/internal/distribution/floor.go
@@ -84,9 +84,14 @@
 	}
 }
 
-// freshPeer returns a reader to ask: of the local failure domain at first,
-// then of any.
+// freshPeer returns the peer to ask: in turn a reader of the local failure
+// domain, the parent, and a reader of any failure domain. A reader cannot
+// answer a host whose record it does not have yet, whereas the parent gets the
+// record with the heartbeats.
 func (r *Reducer) freshPeer(rng *rand.Rand) (mesh.HostID, bool) {
+	if parent, ok := r.topology.Parent(); ok && r.floor.attempts%3 == 2 {
+		return parent, true
+	}
 	domain := r.settings.Domain
 	if domains := r.topology.Domains(); r.floor.attempts%3 == 0 && len(domains) > 0 {
 		domain = domains[rng.IntN(len(domains))]
--- a/internal/distribution/push.go
+++ b/internal/distribution/push.go
@@ -91,6 +91,8 @@
 type request struct {
 	host mesh.HostID
 	want mesh.ConfigVersion
+	// until is the time at which the peer asks another source.
+	until mesh.Time
 }
 
 // serveQueue holds the requests for full content and their byte budget.
@@ -105,6 +107,17 @@
 	q.requests = slices.DeleteFunc(q.requests, func(w request) bool { return w.host == host })
 }
 
+// add queues a request. A peer that asks again keeps its place.
+func (q *serveQueue) add(next request) {
+	i := slices.IndexFunc(q.requests, func(w request) bool { return w.host == next.host })
+	switch {
+	case i >= 0:
+		q.requests[i] = next
+	case len(q.requests) < maxServeQueue:
+		q.requests = append(q.requests, next)
+	}
+}
+
 // acceptPull answers with a delta at once, or queues the full content. A
 // request for a version that is itself being fetched waits for its arrival.
 func (r *Reducer) acceptPull(now mesh.Time, from mesh.HostID, m *Pull, out *Output) {
@@ -118,15 +131,12 @@
 			return
 		}
 	}
-	q := &r.serve
-	q.drop(from)
-	if len(q.requests) < maxServeQueue {
-		q.requests = append(q.requests, request{host: from, want: m.Want})
-	}
+	r.serve.add(request{host: from, want: m.Want, until: now.Add(fullPullTimeout)})
 	r.tickServe(now, out)
 }
 
-// tickServe sends full content within the budget.
+// tickServe sends full content within the budget. A request whose sender has
+// turned to another source is dropped, as its answer would be a second copy.
 func (r *Reducer) tickServe(now mesh.Time, out *Output) {
 	q := &r.serve
 	if q.filled == 0 {
@@ -140,7 +150,7 @@
 	for _, next := range q.requests {
 		held := r.contents.get(next.want)
 		switch {
-		case r.heldBy(next.host) >= next.want || (held == nil && next.want != r.target()):
+		case r.heldBy(next.host) >= next.want || now > next.until || (held == nil && next.want != r.target()):
 		case held == nil || q.budget <= 0:
 			waiting = append(waiting, next)
 		default:
--- a/internal/distribution/reducer.go
+++ b/internal/distribution/reducer.go
@@ -39,6 +39,8 @@
 	Children() []mesh.HostID
 	IsReader() bool
 	Readers(domain mesh.FailureDomain) []mesh.HostID
+	// Hosts returns the live members of a failure domain in a new slice.
+	Hosts(domain mesh.FailureDomain) []mesh.HostID
 	Domains() []mesh.FailureDomain
 	// DomainOf returns the failure domain of a known host.
 	DomainOf(host mesh.HostID) (mesh.FailureDomain, bool)
--- a/internal/membership/tree.go
+++ b/internal/membership/tree.go
@@ -23,6 +23,10 @@
 // caller must not change the slice.
 func (r *Reducer) Members(domain mesh.FailureDomain) []*Record { return r.table.domain(domain).order }
 
+// Hosts returns the live members of a failure domain in tree order, in a new
+// slice.
+func (r *Reducer) Hosts(domain mesh.FailureDomain) []mesh.HostID { return hostsOf(r.Members(domain)) }
+
 // LiveCount returns the number of live members of a failure domain.
 func (r *Reducer) LiveCount(domain mesh.FailureDomain) int { return len(r.Members(domain)) }
 
