--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -14,7 +14,8 @@
 
 // call is a call in progress at its entry node.
 type call struct {
-	id          mesh.CallID
+	id mesh.CallID
+	// route is nil for a call that was relayed.
 	route       *config.ResolvedRoute
 	retry       retry.Call
 	deadline    mesh.Time
@@ -28,7 +29,8 @@
 	sent   bool
 	sentAt mesh.Time
 	target routing.Target
-	// hosts and instances hold the targets of earlier attempts.
+	// hosts and instances hold the targets of earlier attempts, hosts also the
+	// peer that a call was relayed to.
 	hosts     []mesh.HostID
 	instances []mesh.InstanceID
 }
@@ -63,8 +65,11 @@
 		n.counters.BadMessages++
 		return
 	}
+	if n.relayed(ev, out) {
+		return
+	}
 	if n.accepted == nil {
-		n.relay(ev, out)
+		n.rejectEarly(in, mesh.ReasonNoConfiguration, out)
 		return
 	}
 	route, ok := n.accepted.Index.Match(in.Service, in.Method, in.Path)
@@ -103,33 +108,6 @@
 	return time.Duration(millis) * time.Millisecond
 }
 
-// relay passes a call to a node that knows its version floor, because this one
-// may apply no configuration yet.
-func (n *Node) relay(ev *Event, out *Ready) {
-	if !ev.Call.Relayed {
-		if to := n.establishedPeer(ev.Seed); to != nil {
-			n.counters.Relayed++
-			out.Calls = append(out.Calls, CallEffect{
-				Call: ev.Call.Call, Action: CallRelay, Host: to.Host, Addr: to.CallAddr,
-				Deadline: ev.Now.Add(relayTime(&ev.Call)),
-			})
-			return
-		}
-	}
-	n.rejectEarly(&ev.Call, mesh.ReasonNoConfiguration, out)
-}
-
-// maxRelayTime bounds a relayed call whose caller states no deadline. The node
-// that accepts it applies the deadline of the class.
-const maxRelayTime = 30 * time.Second
-
-func relayTime(in *CallArrived) time.Duration {
-	if in.DeadlineMillis == 0 {
-		return maxRelayTime
-	}
-	return time.Duration(in.DeadlineMillis) * time.Millisecond
-}
-
 // rejectEarly rejects a call before its class and claim are known. An earlier
 // send of a request with an identity may have run, so only a call without one
 // is surely not run.
@@ -186,8 +164,13 @@
 	n.endCall(c)
 }
 
-// attempt chooses a target and forwards the awaited attempt to it.
+// attempt chooses a target and forwards the awaited attempt to it. A claim may
+// take longer than the call has, so the deadline is checked here.
 func (n *Node) attempt(now mesh.Time, seed uint64, c *call, out *Ready) {
+	if now >= c.deadline {
+		n.finish(now, c, n.retrier.NoTarget(&c.retry, mesh.ReasonDeadline), out)
+		return
+	}
 	choice := n.choose(now, seed, c)
 	if choice.Miss != routing.MissNone {
 		n.finish(now, c, n.retrier.NoTarget(&c.retry, mesh.ReasonNoTarget), out)
@@ -234,6 +217,10 @@
 func (n *Node) attemptDone(ev *Event, out *Ready) {
 	in := &ev.Attempt
 	c := n.calls[in.Call]
+	if c != nil && c.route == nil {
+		n.relayDone(ev, c, out)
+		return
+	}
 	if c == nil || !c.sent || in.Attempt != c.retry.Attempt() {
 		n.counters.LateAnswers++
 		return
@@ -242,8 +229,9 @@
 	n.recordAttempt(ev.Now, c, in, out)
 	c.hosts = append(c.hosts, c.target.Host)
 	c.instances = append(c.instances, c.target.Instance)
-	if in.Crashed && c.crashes < ^uint8(0) {
-		c.crashes++
+	if in.Crashed && n.crashed(ev.Now, c, in) {
+		n.finish(ev.Now, c, retry.Decision{Action: retry.Reject, Outcome: mesh.MayHaveRun, Reason: mesh.ReasonPoison}, out)
+		return
 	}
 	d := n.retrier.Done(ev.Now, &c.retry, retry.Result{Attempt: in.Attempt, Outcome: in.Outcome, Reason: in.Reason})
 	if d.Action == retry.Retry {
@@ -253,6 +241,18 @@
 	n.finish(ev.Now, c, d, out)
 }
 
+// crashed takes in the gate's count of crashes and reports whether the request
+// is convicted. This node learns a conviction at once, before the tree brings
+// it, so that neither a retry nor a resend crashes another backend server.
+func (n *Node) crashed(now mesh.Time, c *call, in *AttemptDone) bool {
+	c.crashes = max(poison.CountAfterCrash(c.crashes), in.Crashes)
+	if c.crashes < poison.ConvictionCrashes {
+		return false
+	}
+	n.poison.Merge(now, []poison.Entry{{Fingerprint: c.fingerprint, Crashes: c.crashes, At: now}})
+	return true
+}
+
 // recordAttempt feeds the result to routing and to the evidence of moves.
 func (n *Node) recordAttempt(now mesh.Time, c *call, in *AttemptDone, out *Ready) {
 	latency := now.Sub(c.sentAt)
