Send misplaced children to their parent in the tree

Cause, traced at 650 nodes starting together (heartbeat replies of the busiest node in the first 12 s, by the relation of the receiver): a reader sent 200 replies to nodes that computed it as their parent from a partial view and that are not its children in its own, more complete view, and 38 to its children. Frames were 3.4 of its 10.9 KB/s.

Change: the reply to a heartbeat of a node that is not a child carries the sender's parent in the replier's tree, its record and the number of members the replier knows. The node follows that parent for 5 s or until it knows as many members. The join reply alone does not suffice: the seeds start at the same time and have partial views themselves.

--- a/internal/membership/encoding.go
+++ b/internal/membership/encoding.go
@@ -18,6 +18,7 @@
 	partRecords
 	partRepair
 	partDigest
+	partPlace
 )
 
 // EncodeMessages returns the compact encoding of messages to one peer.
@@ -48,7 +49,8 @@
 func (m *Message) write(w *wire.Writer) {
 	w.Byte(byte(m.Kind))
 	w.Byte(flagIf(partUnreachable, len(m.Unreachable) > 0) | flagIf(partRecords, len(m.Records) > 0) |
-		flagIf(partRepair, m.Repair != nil) | flagIf(partDigest, m.Digest != 0))
+		flagIf(partRepair, m.Repair != nil) | flagIf(partDigest, m.Digest != 0) |
+		flagIf(partPlace, m.Place != nil))
 	if m.Digest != 0 {
 		w.Fixed(m.Digest)
 	}
@@ -61,6 +63,10 @@
 	if m.Repair != nil {
 		m.Repair.write(w)
 	}
+	if m.Place != nil {
+		w.String(string(m.Place.Parent))
+		w.Uint(uint64(m.Place.Members))
+	}
 }
 
 func readMessage(r *wire.Reader) Message {
@@ -81,6 +87,9 @@
 	if parts&partRepair != 0 {
 		m.Repair = readRepair(r)
 	}
+	if parts&partPlace != 0 {
+		m.Place = &Place{Parent: mesh.HostID(r.String(maxStringBytes)), Members: uint32(r.Uint(1<<32 - 1))}
+	}
 	return m
 }
 
--- a/internal/membership/encoding_test.go
+++ b/internal/membership/encoding_test.go
@@ -24,7 +24,8 @@
 	}
 	return []Message{
 		{Kind: KindHeartbeat, Digest: 1 << 60, Records: records},
-		{Kind: KindHeartbeatReply, Unreachable: []mesh.FailureDomain{"azrou", "sefrou"}},
+		{Kind: KindHeartbeatReply, Unreachable: []mesh.FailureDomain{"azrou", "sefrou"},
+			Place: &Place{Parent: "ifrane-002", Members: 2}},
 		{Kind: KindRepair, Repair: &Repair{
 			Local:       true,
 			Digests:     []DomainDigest{{Domain: "ifrane", Digest: 5, Count: 2}},
--- a/internal/membership/message.go
+++ b/internal/membership/message.go
@@ -34,6 +34,8 @@
 	Unreachable []mesh.FailureDomain
 	Records     Batch
 	Repair      *Repair
+	// Place is set on replies to a node that is not a child of the sender.
+	Place *Place
 }
 
 // Repair is one step of the comparison of two members' records. The steps are
--- a/internal/membership/reducer.go
+++ b/internal/membership/reducer.go
@@ -64,6 +64,7 @@
 	exchanges []mesh.HostID
 
 	join        joinState
+	assigned    assignment
 	readerSince mesh.Time
 
 	// neighbours are the parent and the children; links has their state.
@@ -141,6 +142,7 @@
 	r.expireBackends(now, out)
 	r.tickJoin(now, rng, out)
 	r.updateReader(now)
+	r.expirePlace(now)
 	r.updateLinks(now)
 	r.outboxes.fill(now)
 	if now >= r.nextBeat {
@@ -237,12 +239,14 @@
 	reply := Message{Kind: KindHeartbeatReply, Digest: r.table.digest, Records: r.takeRecords(from)}
 	if m.Kind == KindHeartbeat {
 		reply.Unreachable = r.unreachableDomains()
+		reply.Place, reply.Records = r.placeOf(from, reply.Records)
 	}
 	reply.Repair = r.offerRepair(now, from, m.Digest)
 	r.send(from, reply, out)
 }
 
 func (r *Reducer) acceptReply(now mesh.Time, from mesh.HostID, m *Message, out *Output) {
+	r.acceptPlace(now, m.Place)
 	if l, ok := r.links[from]; ok && m.Digest == r.table.digest {
 		l.synced, l.mismatchSince = true, 0
 	}
--- a/internal/membership/tree.go
+++ b/internal/membership/tree.go
@@ -48,9 +48,12 @@
 	return r.table.domain(r.settings.Domain).index(keyOf(r.settings.Host))
 }
 
-// Parent returns the parent in the tree of the local failure domain. It is
-// false for the root.
+// Parent returns the parent in the tree of the local failure domain, or the
+// assigned one while the local view is incomplete. It is false for the root.
 func (r *Reducer) Parent() (mesh.HostID, bool) {
+	if parent, ok := r.assignedParent(); ok {
+		return parent, true
+	}
 	i, ok := r.selfIndex()
 	if !ok || i == 0 {
 		return "", false
