Retire the records of ended members after 24 hours

Change: a record that is not live carries the time of the declaration (nothing is added to live records on the wire). 24 h after it all nodes stop sharing the record, at the same time as the time is in the record. Member still returns the retired record, as claims need to know that a process has ended.

--- a/internal/membership/batch.go
+++ b/internal/membership/batch.go
@@ -42,6 +42,9 @@
 	w.Int(int64(r.Incarnation - r.Started))
 	w.Byte(byte(r.State))
 	w.Byte(flagIf(flagEstablished, r.Established))
+	if !r.Live() {
+		w.Int(int64(r.Ended))
+	}
 	w.Uint(uint64(r.Revision))
 	w.Uint(uint64(len(r.Backends)))
 	last := firstBackend(prev)
@@ -103,6 +106,9 @@
 	rec.Started = rec.Incarnation - mesh.Incarnation(r.Int())
 	rec.State = State(r.Byte())
 	rec.Established = r.Byte()&flagEstablished != 0
+	if !rec.Live() {
+		rec.Ended = mesh.Time(r.Int())
+	}
 	rec.Revision = uint32(r.Uint(1<<32 - 1))
 	count := r.Uint(maxBackends)
 	last := firstBackend(prev)
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -97,10 +97,10 @@
 		rec := r.table.records[host]
 		switch {
 		case silence >= DeadAfter && !isolated && rec.Live():
-			next := rec.withState(Dead)
+			next := rec.withState(now, Dead)
 			r.replace(now, "", &next, out)
 		case silence >= SuspectAfter && !isolated && rec.State == Alive:
-			next := rec.withState(Suspect)
+			next := rec.withState(now, Suspect)
 			r.replace(now, "", &next, out)
 		}
 	}
--- a/internal/membership/encoding_test.go
+++ b/internal/membership/encoding_test.go
@@ -20,7 +20,7 @@
 				{Instance: "ifrane-001-b0", Service: "roofs", Version: "v1", Slots: 9},
 				{Instance: "ifrane-001-b1", Service: "depot", Version: "v2", Slots: 6, Draining: true},
 			}},
-		{Host: "ifrane-002", Domain: "ifrane", Incarnation: 60, Started: 60, State: Dead},
+		{Host: "ifrane-002", Domain: "ifrane", Incarnation: 60, Started: 60, State: Dead, Ended: 90},
 	}
 	return []Message{
 		{Kind: KindHeartbeat, Digest: 1 << 60, Records: records},
--- a/internal/membership/record.go
+++ b/internal/membership/record.go
@@ -64,6 +64,8 @@
 	// values describe different processes.
 	Started mesh.Incarnation
 	State   State
+	// Ended is the time at which a member that is not live was declared so.
+	Ended mesh.Time
 	// Revision counts the changes of the record within an incarnation.
 	Revision uint32
 	// Established is set once the node knows its version floor.
@@ -111,12 +113,13 @@
 }
 
 // withState returns a copy of r in another state. Members that are not live
-// serve no calls, so their backend servers are dropped.
-func (r *Record) withState(s State) Record {
+// serve no calls, so their backend servers are dropped, and have the time now
+// as their end.
+func (r *Record) withState(now mesh.Time, s State) Record {
 	next := *r
 	next.State = s
 	if !next.Live() {
-		next.Backends = nil
+		next.Backends, next.Ended = nil, now
 	}
 	return next
 }
--- a/internal/membership/reducer.go
+++ b/internal/membership/reducer.go
@@ -85,6 +85,10 @@
 	nextRepair  mesh.Time
 	wantedUntil map[mesh.FailureDomain]mesh.Time
 
+	// retired holds records that are no longer shared, by host.
+	retired    map[mesh.HostID]*Record
+	nextRetire mesh.Time
+
 	left     bool
 	expelled bool
 	// supersedes decides whether a received record replaces a known one. Tests
@@ -102,6 +106,7 @@
 		reach:       make(map[mesh.FailureDomain]*reachability),
 		unreachable: make(map[mesh.FailureDomain]bool),
 		wantedUntil: make(map[mesh.FailureDomain]mesh.Time),
+		retired:     make(map[mesh.HostID]*Record),
 		treeDirty:   true,
 		supersedes:  (*Record).Supersedes,
 	}
@@ -140,6 +145,7 @@
 	r.observeTime(now)
 	rng := r.random(seed)
 	r.expireBackends(now, out)
+	r.tickRetire(now)
 	r.tickJoin(now, rng, out)
 	r.updateReader(now)
 	r.expirePlace(now)
@@ -269,6 +275,13 @@
 		r.mergeSelf(source, rec, out)
 		return
 	}
+	if r.refused(source, rec, out) {
+		return
+	}
+	if rec.due(now) {
+		r.takeEnded(rec, out)
+		return
+	}
 	known := r.table.records[rec.Host]
 	if known != nil && !r.supersedes(rec, known) {
 		if known.Supersedes(rec) {
@@ -339,7 +352,7 @@
 			peers = append(peers, reader)
 		}
 	}
-	r.updateSelf(out, func(self *Record) { *self = self.withState(Left) })
+	r.updateSelf(out, func(self *Record) { *self = self.withState(now, Left) })
 	for _, peer := range peers {
 		r.sendRecord(peer, r.Self(), out)
 	}
@@ -353,7 +366,7 @@
 	if rec == nil {
 		return ErrUnknownHost.New("there is no record of host %q", host)
 	}
-	next := rec.withState(Forgotten)
+	next := rec.withState(now, Forgotten)
 	next.Incarnation = max(rec.Incarnation+1, mesh.Incarnation(now))
 	if host == r.settings.Host {
 		r.expelled = true
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -84,6 +84,16 @@
 	return old
 }
 
+// drop removes the record of a host and returns it, or nil.
+func (t *table) drop(host mesh.HostID) *Record {
+	old := t.records[host]
+	if old != nil {
+		t.remove(old, keyOf(host), true)
+		delete(t.records, host)
+	}
+	return old
+}
+
 func (t *table) remove(old *Record, key treeKey, moved bool) {
 	d := t.domains[old.Domain]
 	h := old.hash()
--- a/internal/membership/tree.go
+++ b/internal/membership/tree.go
@@ -16,8 +16,13 @@
 	ReadersPerDomain = 2
 )
 
-// Member returns the record of a host, which may be dead, or nil.
-func (r *Reducer) Member(host mesh.HostID) *Record { return r.table.records[host] }
+// Member returns the record of a host, which may be dead or retired, or nil.
+func (r *Reducer) Member(host mesh.HostID) *Record {
+	if rec := r.table.records[host]; rec != nil {
+		return rec
+	}
+	return r.retired[host]
+}
 
 // Members returns the live members of a failure domain in tree order. The
 // caller must not change the slice.
