--- a/internal/membership/reducer.go
+++ b/internal/membership/reducer.go
@@ -64,6 +64,7 @@
 	exchanges []mesh.HostID
 
 	join        joinState
+	assigned    assignment
 	readerSince mesh.Time
 
 	// neighbours are the parent and the children; links has their state.
@@ -84,6 +85,10 @@
 	nextRepair  mesh.Time
 	wantedUntil map[mesh.FailureDomain]mesh.Time
 
+	// retired holds records that are no longer shared, by host.
+	retired    map[mesh.HostID]*Record
+	nextRetire mesh.Time
+
 	left     bool
 	expelled bool
 	// supersedes decides whether a received record replaces a known one. Tests
@@ -101,6 +106,7 @@
 		reach:       make(map[mesh.FailureDomain]*reachability),
 		unreachable: make(map[mesh.FailureDomain]bool),
 		wantedUntil: make(map[mesh.FailureDomain]mesh.Time),
+		retired:     make(map[mesh.HostID]*Record),
 		treeDirty:   true,
 		supersedes:  (*Record).Supersedes,
 	}
@@ -139,8 +145,10 @@
 	r.observeTime(now)
 	rng := r.random(seed)
 	r.expireBackends(now, out)
+	r.tickRetire(now)
 	r.tickJoin(now, rng, out)
 	r.updateReader(now)
+	r.expirePlace(now)
 	r.updateLinks(now)
 	r.outboxes.fill(now)
 	if now >= r.nextBeat {
@@ -237,12 +245,14 @@
 	reply := Message{Kind: KindHeartbeatReply, Digest: r.table.digest, Records: r.takeRecords(from)}
 	if m.Kind == KindHeartbeat {
 		reply.Unreachable = r.unreachableDomains()
+		reply.Place, reply.Records = r.placeOf(from, reply.Records)
 	}
 	reply.Repair = r.offerRepair(now, from, m.Digest)
 	r.send(from, reply, out)
 }
 
 func (r *Reducer) acceptReply(now mesh.Time, from mesh.HostID, m *Message, out *Output) {
+	r.acceptPlace(now, m.Place)
 	if l, ok := r.links[from]; ok && m.Digest == r.table.digest {
 		l.synced, l.mismatchSince = true, 0
 	}
@@ -265,6 +275,13 @@
 		r.mergeSelf(source, rec, out)
 		return
 	}
+	if r.refused(source, rec, out) {
+		return
+	}
+	if rec.due(now) {
+		r.takeEnded(rec, out)
+		return
+	}
 	known := r.table.records[rec.Host]
 	if known != nil && !r.supersedes(rec, known) {
 		if known.Supersedes(rec) {
@@ -335,7 +352,7 @@
 			peers = append(peers, reader)
 		}
 	}
-	r.updateSelf(out, func(self *Record) { *self = self.withState(Left) })
+	r.updateSelf(out, func(self *Record) { *self = self.withState(now, Left) })
 	for _, peer := range peers {
 		r.sendRecord(peer, r.Self(), out)
 	}
@@ -349,7 +366,7 @@
 	if rec == nil {
 		return ErrUnknownHost.New("there is no record of host %q", host)
 	}
-	next := rec.withState(Forgotten)
+	next := rec.withState(now, Forgotten)
 	next.Incarnation = max(rec.Incarnation+1, mesh.Incarnation(now))
 	if host == r.settings.Host {
 		r.expelled = true
