Agree on the serving version while a node starts

Cause: with two versions announced at once, a node kept the version whose instance it heard of first, so one of three nodes sent calls to the other version (seen with real processes: one answer of three came from 1.9.0). Change: until a node is settled (10 s) the version with the most instances serves, ties by name; afterwards it changes only when it has no instance left.

--- a/internal/core/tick.go
+++ b/internal/core/tick.go
@@ -136,7 +136,7 @@
 	}
 	n.firstSeen, n.scratch.instances = known, list
 	n.router.SetInstances(now, list)
-	n.updateShares()
+	n.updateShares(now)
 }
 
 // establishedPeer returns a random live node that knows its version floor,
--- a/internal/core/versions.go
+++ b/internal/core/versions.go
@@ -38,12 +38,13 @@
 	}
 }
 
-// serve returns the shares of a service without a move. The serving version
-// changes only when it has no instance left; the one with the most instances
-// follows, so that nodes that start at different times agree.
-func (v *versions) serve(name mesh.Service) routing.Shares {
+// serve returns the shares of a service without a move. The serving version is
+// the one with the most instances, so that nodes that start at different times
+// agree. Once the node is settled, it changes only when it has no instance
+// left; before that the instances are still being announced.
+func (v *versions) serve(name mesh.Service, settled bool) routing.Shares {
 	counts := v.counts[name]
-	if counts[v.serving[name]] == 0 {
+	if !settled || counts[v.serving[name]] == 0 {
 		v.serving[name] = mostInstances(counts)
 	}
 	if len(counts) <= 1 {
@@ -67,10 +68,11 @@
 
 // updateShares limits services without a move to their serving version. Moves
 // choose the version of the others themselves.
-func (n *Node) updateShares() {
+func (n *Node) updateShares(now mesh.Time) {
+	settled := now.Sub(n.settings.Started) > startupTime
 	n.versions.count(n.scratch.instances)
 	for name := range n.versions.counts {
-		n.router.SetShares(n.versions.serve(name))
+		n.router.SetShares(n.versions.serve(name, settled))
 	}
 }
 
