State the kind of a refusal in the reply to an operator

Cause: chicoryctl told refusals of moves apart by the start of their text. Change: core.OperatorReply carries a typed Refusal; chicoryctl maps it to its exit code. A test of core now checks the classification of real refusals. Result: tests of internal/ctl and TestRefusalsOfMovesAreClassified pass.

--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/chicoryscale/chicoryscale/internal/claims"
 	"github.com/chicoryscale/chicoryscale/internal/config"
 	"github.com/chicoryscale/chicoryscale/internal/distribution"
@@ -101,8 +103,9 @@
 // OperatorReply is the answer to an OperatorRequest.
 type OperatorReply struct {
 	ID uint64
-	// Err is empty on success.
-	Err string
+	// Err is empty on success. Refusal tells its kind.
+	Err     string
+	Refusal Refusal
 	// Publish is the result of Apply and History.
 	Publish *publish.Reply
 	Status  *Status
@@ -110,6 +113,36 @@
 	Moves   []moves.MoveState
 }
 
+// Refusal tells why a command about a move or a host had no effect.
+type Refusal uint8
+
+// Kinds of refusals.
+const (
+	// RefusalNone stands with a command that succeeded or failed otherwise.
+	RefusalNone Refusal = iota
+	// RefusalConflict means that the command contradicts the present state.
+	RefusalConflict
+	// RefusalInvalid means that the command is malformed or names something
+	// unknown.
+	RefusalInvalid
+	// RefusalUnsettled means that the platform gave no answer; the command may
+	// have taken effect and can be repeated.
+	RefusalUnsettled
+)
+
+// refusalOf classifies the errors of the sub-reducers.
+func refusalOf(err error) Refusal {
+	switch {
+	case errorx.IsOfType(err, moves.ErrRefused):
+		return RefusalConflict
+	case errorx.IsOfType(err, moves.ErrInvalid), errorx.IsOfType(err, membership.ErrUnknownHost):
+		return RefusalInvalid
+	case errorx.IsOfType(err, moves.ErrUnavailable):
+		return RefusalUnsettled
+	}
+	return RefusalNone
+}
+
 // Status is the state of the configuration as one node knows it.
 type Status struct {
 	Host mesh.HostID
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -234,3 +234,19 @@
 	}
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
 }
+
+// Guards against an operator's tool that takes a conflict for an invalid order.
+func TestRefusalsOfMovesAreClassified(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	start := func(id uint64, move mesh.MoveID, to mesh.BackendVersion) Refusal {
+		g.step("ifrane-1", Event{Kind: KindOperator, Operator: &OperatorRequest{ID: id, StartMove: &StartMoveRequest{
+			Move: move, Service: "stock", From: "v1", To: to, Deadline: g.now.Add(time.Hour),
+		}}})
+		g.run(2 * time.Second)
+		return g.replies[id].Refusal
+	}
+	is.Equal(start(1, "m1", "v2"), RefusalNone)
+	is.Equal(start(2, "m2", "v3"), RefusalConflict)
+	is.Equal(start(3, "m3", "v1"), RefusalInvalid)
+}
--- a/internal/core/operator.go
+++ b/internal/core/operator.go
@@ -94,7 +94,7 @@
 func (n *Node) operatorForget(ev *Event, out *Ready) {
 	reply := OperatorReply{ID: ev.Operator.ID}
 	if err := n.members.Forget(ev.Now, ev.Operator.Forget.Host, &n.scratch.members); err != nil {
-		reply.Err = err.Error()
+		reply.Err, reply.Refusal = err.Error(), refusalOf(err)
 	}
 	n.flushMembers(ev.Now, out)
 	out.Replies = append(out.Replies, reply)
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -242,7 +242,7 @@
 	for _, r := range e.Replies {
 		reply := OperatorReply{ID: r.ID}
 		if r.Err != nil {
-			reply.Err = r.Err.Error()
+			reply.Err, reply.Refusal = r.Err.Error(), refusalOf(r.Err)
 		}
 		out.Replies = append(out.Replies, reply)
 	}
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -11,8 +11,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/chicoryscale/chicoryscale/internal/core"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
-	"github.com/chicoryscale/chicoryscale/internal/moves"
 	"github.com/chicoryscale/chicoryscale/internal/publish"
 )
 
@@ -97,10 +97,10 @@
 	}
 	err := publishError(&publish.Reply{Status: publish.Conflict, Version: 7}, "op")
 	is.True(strings.Contains(err.Error(), "v7"))
-	is.Equal(codeOf(moveError("")), ExitOK)
-	is.Equal(codeOf(moveError(moves.ErrRefused.New("x").Error())), ExitConflict)
-	is.Equal(codeOf(moveError(moves.ErrInvalid.New("x").Error())), ExitRejected)
-	is.Equal(codeOf(moveError(moves.ErrUnavailable.New("x").Error())), ExitUnsettled)
+	is.Equal(codeOf(moveError(&core.OperatorReply{})), ExitOK)
+	is.Equal(codeOf(moveError(&core.OperatorReply{Err: "x", Refusal: core.RefusalConflict})), ExitConflict)
+	is.Equal(codeOf(moveError(&core.OperatorReply{Err: "x", Refusal: core.RefusalInvalid})), ExitRejected)
+	is.Equal(codeOf(moveError(&core.OperatorReply{Err: "x", Refusal: core.RefusalUnsettled})), ExitUnsettled)
 }
 
 // Guards against a deadline that is read in another unit or has passed.
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"strings"
 
-	"github.com/joomcode/errorx"
-
-	"github.com/chicoryscale/chicoryscale/internal/moves"
+	"github.com/chicoryscale/chicoryscale/internal/core"
 	"github.com/chicoryscale/chicoryscale/internal/publish"
 )
 
@@ -106,20 +104,18 @@
 	return lines
 }
 
-// moveError turns a node's refusal of a move's order into an error. The
-// refusal starts with the full name of its type.
-func moveError(reason string) error {
-	is := func(t *errorx.Type) bool { return strings.HasPrefix(reason, t.FullName()) }
+// moveError turns a node's refusal of a move's order into an error.
+func moveError(reply *core.OperatorReply) error {
 	switch {
-	case reason == "":
+	case reply.Err == "":
 		return nil
-	case is(moves.ErrRefused):
-		return fail(ExitConflict, "See `chicoryctl moves list`. Nothing was changed.", "%s", reason)
-	case is(moves.ErrInvalid):
-		return fail(ExitRejected, "Correct the order and repeat the command. Nothing was changed.", "%s", reason)
-	case is(moves.ErrUnavailable):
-		return fail(ExitUnsettled, "Repeat the command with the same move ID and the same deadline.", "%s", reason)
+	case reply.Refusal == core.RefusalConflict:
+		return fail(ExitConflict, "See `chicoryctl moves list`. Nothing was changed.", "%s", reply.Err)
+	case reply.Refusal == core.RefusalInvalid:
+		return fail(ExitRejected, "Correct the order and repeat the command. Nothing was changed.", "%s", reply.Err)
+	case reply.Refusal == core.RefusalUnsettled:
+		return fail(ExitUnsettled, "Repeat the command with the same move ID and the same deadline.", "%s", reply.Err)
 	default:
-		return fail(ExitFailure, "", "%s", reason)
+		return fail(ExitFailure, "", "%s", reply.Err)
 	}
 }
--- a/internal/ctl/moves.go
+++ b/internal/ctl/moves.go
@@ -138,7 +138,7 @@
 		To: mesh.BackendVersion(flags.to), Deadline: mesh.Time(deadline.UnixNano()),
 	}})
 	if err == nil {
-		err = moveError(reply.Err)
+		err = moveError(reply)
 	}
 	order := moveOrder{Move: mesh.MoveID(flags.id), Result: "started", Deadline: deadline.UTC().Format(time.RFC3339Nano)}
 	if codeOf(err) == ExitUnsettled {
@@ -179,7 +179,7 @@
 			if err != nil {
 				return err
 			}
-			if err := moveError(reply.Err); err != nil {
+			if err := moveError(reply); err != nil {
 				return err
 			}
 			order := moveOrder{Move: move, Result: "withdrawn"}
