--- a/internal/claims/encoding.go
+++ b/internal/claims/encoding.go
@@ -141,7 +141,7 @@
 
 func (m *Message) readRecords(r *wire.Reader) []Record {
 	last := m.before()
-	return wire.ReadList(r, maxWireRecords, func(*Record) Record {
+	return wire.ReadList(r, maxWireRecords, func(r *wire.Reader, _ *Record) Record {
 		last = Record{
 			ID: readIdentity(r, last.ID.Home), State: RecordState(r.Byte()),
 			Ticket: readTicket(r, last.Ticket.Asker),
--- a/internal/claims/message.go
+++ b/internal/claims/message.go
@@ -23,8 +23,8 @@
 	MsgSynced
 )
 
-// Message is a control message between nodes. It is a flat struct because gob
-// sends only the fields that are set.
+// Message is a control message between nodes. EncodeMessages omits the fields
+// that are not set.
 type Message struct {
 	Kind   MessageKind
 	From   Replica
--- a/internal/membership/encoding.go
+++ b/internal/membership/encoding.go
@@ -94,7 +94,7 @@
 
 // readList reads a count and as many entries. Each is given the one before.
 func readList[T any](r *wire.Reader, read func(prev *T) T) []T {
-	return wire.ReadList(r, maxListEntries, read)
+	return wire.ReadList(r, maxListEntries, func(_ *wire.Reader, prev *T) T { return read(prev) })
 }
 
 func (s *Repair) write(w *wire.Writer) {
--- a/internal/moves/operator.go
+++ b/internal/moves/operator.go
@@ -18,6 +18,8 @@
 	switch {
 	case req.Move == "" || req.Service == "" || req.From == "" || req.To == "":
 		err = ErrInvalid.New("a move needs an ID, a service and two versions")
+	case max(len(req.Move), len(req.Service), len(req.From), len(req.To)) > maxNameBytes:
+		err = ErrInvalid.New("a name of move %.32q is longer than %d bytes", string(req.Move), maxNameBytes)
 	case req.From == req.To:
 		err = ErrInvalid.New("move %s has the same version %s on both sides", req.Move, req.To)
 	case req.Deadline <= now:
--- a/internal/wire/list.go
+++ b/internal/wire/list.go
@@ -29,7 +29,7 @@
 		return nil, nil
 	}
 	r := NewReader(data)
-	messages := ReadList(r, limit, func(*T) T { return read(r) })
+	messages := ReadList(r, limit, func(r *Reader, _ *T) T { return read(r) })
 	if err := r.Close(); err != nil {
 		return nil, err
 	}
@@ -39,12 +39,12 @@
 // ReadList reads a count up to limit and as many entries. Each is given the one
 // before, and the first one a zero value. The list grows with the entries that
 // are read, so that a large count without data allocates nothing.
-func ReadList[T any](r *Reader, limit uint64, read func(prev *T) T) []T {
+func ReadList[T any](r *Reader, limit uint64, read func(r *Reader, prev *T) T) []T {
 	count := r.Uint(limit)
 	var out []T
 	var prev T
 	for i := uint64(0); i < count && r.OK(); i++ {
-		prev = read(&prev)
+		prev = read(r, &prev)
 		out = append(out, prev)
 	}
 	return out
