Carry claims and moves messages in their compact encodings

Cause: the Envelope carried them as gob structs, so that a claim cost 560 bytes over all nodes of a failure domain, and each new connection began with the descriptions of their types. Change: all messages of an Envelope are byte slices. Malformed ones are counted as bad messages, as before for membership and distribution.

--- a/internal/core/control.go
+++ b/internal/core/control.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/chicoryscale/chicoryscale/internal/claims"
 	"github.com/chicoryscale/chicoryscale/internal/config"
 	"github.com/chicoryscale/chicoryscale/internal/distribution"
 	"github.com/chicoryscale/chicoryscale/internal/membership"
@@ -32,12 +31,11 @@
 	Incarnation mesh.Incarnation
 	// Clock is the sender's hybrid logical clock.
 	Clock uint64
-	// Membership and Distribution hold messages in the encoding of their
-	// packages, which is compact because these are sent every second.
+	// The messages are in the compact encodings of their packages.
 	Membership   []byte
 	Distribution []byte
-	Claims       []claims.Message
-	Moves        []moves.Message
+	Claims       []byte
+	Moves        []byte
 }
 
 // OperatorRequest is a command of an operator. Exactly one pointer is set.
--- a/internal/core/peers.go
+++ b/internal/core/peers.go
@@ -62,14 +62,13 @@
 		if addr == "" {
 			continue
 		}
-		env := Envelope{From: n.settings.Host, Incarnation: n.members.Self().Incarnation, Claims: p.claims, Moves: p.moves}
-		if len(p.membership) > 0 {
-			env.Membership = membership.EncodeMessages(p.membership)
-		}
-		if len(p.distribution) > 0 {
-			env.Distribution = distribution.EncodeMessages(p.distribution)
-		}
-		out.Sends = append(out.Sends, Send{Addr: addr, Envelope: env})
+		out.Sends = append(out.Sends, Send{Addr: addr, Envelope: Envelope{
+			From: n.settings.Host, Incarnation: n.members.Self().Incarnation,
+			Membership:   membership.EncodeMessages(p.membership),
+			Distribution: distribution.EncodeMessages(p.distribution),
+			Claims:       claims.EncodeMessages(p.claims),
+			Moves:        moves.EncodeMessages(p.moves),
+		}})
 	}
 	o.peers = o.peers[:0]
 }
@@ -78,33 +77,38 @@
 // that the other messages find the sender's record.
 func (n *Node) envelope(ev *Event, out *Ready) {
 	env := ev.Envelope
-	if messages, err := membership.DecodeMessages(env.Membership); err != nil {
-		n.counters.BadMessages++
-	} else {
-		for i := range messages {
-			n.members.Receive(ev.Now, env.From, env.Incarnation, &messages[i], &n.scratch.members)
-		}
-	}
+	receive(n, env.Membership, membership.DecodeMessages, func(m *membership.Message) {
+		n.members.Receive(ev.Now, env.From, env.Incarnation, m, &n.scratch.members)
+	})
 	n.flushMembers(ev.Now, out)
-	if messages, err := distribution.DecodeMessages(env.Distribution); err != nil {
-		n.counters.BadMessages++
-	} else {
-		for i := range messages {
-			n.dist.Receive(ev.Now, env.From, &messages[i], &n.scratch.dist)
-		}
-	}
+	receive(n, env.Distribution, distribution.DecodeMessages, func(m *distribution.Message) {
+		n.dist.Receive(ev.Now, env.From, m, &n.scratch.dist)
+	})
 	n.flushDist(ev.Now, out)
-	for i := range env.Claims {
-		n.claims.Receive(ev.Now, &env.Claims[i], &n.scratch.claims)
-	}
+	receive(n, env.Claims, claims.DecodeMessages, func(m *claims.Message) {
+		n.claims.Receive(ev.Now, m, &n.scratch.claims)
+	})
 	n.flushClaims(ev.Now, ev.Seed, out)
-	n.movesHeard = n.movesHeard || len(env.Moves) > 0
-	for i := range env.Moves {
-		n.moves.Message(ev.Now, env.From, &env.Moves[i], &n.scratch.moves)
-	}
+	receive(n, env.Moves, moves.DecodeMessages, func(m *moves.Message) {
+		n.movesHeard = true
+		n.moves.Message(ev.Now, env.From, m, &n.scratch.moves)
+	})
 	n.flushMoves(out)
 }
 
+// receive passes on the messages of one package within an envelope. Malformed
+// ones are counted and dropped.
+func receive[T any](n *Node, data []byte, decode func([]byte) ([]T, error), handle func(*T)) {
+	messages, err := decode(data)
+	if err != nil {
+		n.counters.BadMessages++
+		return
+	}
+	for i := range messages {
+		handle(&messages[i])
+	}
+}
+
 // flushDist sends distribution messages and puts an applied configuration in
 // force.
 func (n *Node) flushDist(now mesh.Time, out *Ready) {
