--- a/internal/membership/tree.go
+++ b/internal/membership/tree.go
@@ -16,8 +16,13 @@
 	ReadersPerDomain = 2
 )
 
-// Member returns the record of a host, which may be dead, or nil.
-func (r *Reducer) Member(host mesh.HostID) *Record { return r.table.records[host] }
+// Member returns the record of a host, which may be dead or retired, or nil.
+func (r *Reducer) Member(host mesh.HostID) *Record {
+	if rec := r.table.records[host]; rec != nil {
+		return rec
+	}
+	return r.retired[host]
+}
 
 // Members returns the live members of a failure domain in tree order. The
 // caller must not change the slice.
@@ -48,9 +53,12 @@
 	return r.table.domain(r.settings.Domain).index(keyOf(r.settings.Host))
 }
 
-// Parent returns the parent in the tree of the local failure domain. It is
-// false for the root.
+// Parent returns the parent in the tree of the local failure domain, or the
+// assigned one while the local view is incomplete. It is false for the root.
 func (r *Reducer) Parent() (mesh.HostID, bool) {
+	if parent, ok := r.assignedParent(); ok {
+		return parent, true
+	}
 	i, ok := r.selfIndex()
 	if !ok || i == 0 {
 		return "", false
