Send evidence on the old version alone less often

Cause: at a small share 572 of 590 messages with evidence held no call to the new version, and most travelled in an envelope of their own. Change: such evidence waits up to 400 ms instead of 200 ms. Evidence with a call to the new version is sent as before. No report is sent twice: a flush takes the counts.

--- a/internal/moves/evidence.go
+++ b/internal/moves/evidence.go
@@ -95,6 +95,16 @@
 	return dst
 }
 
+// countsNew reports whether any call to a new version is counted.
+func (l *ledger) countsNew() bool {
+	for i := range l.reports {
+		if !l.reports[i].Sides[NewSide].empty() {
+			return true
+		}
+	}
+	return false
+}
+
 // drop removes the entries of a move that has ended.
 func (l *ledger) drop(move mesh.MoveID) {
 	kept := l.reports[:0]
--- a/internal/moves/flow.go
+++ b/internal/moves/flow.go
@@ -12,6 +12,11 @@
 	flushInterval = 200 * time.Millisecond
 	// urgentInterval replaces it after a call to the new version went wrong.
 	urgentInterval = 50 * time.Millisecond
+	// idleInterval replaces it while no call to the new version is counted: calls
+	// to the old version alone show no fault, and at small shares they were 97%
+	// of the messages with evidence. With 1 s the mean share of calls that reach a
+	// bad version rose on both measured lists of 240 moves.
+	idleInterval = 400 * time.Millisecond
 	// repeatInterval is the time after which states and stops are sent again, in
 	// case a message was lost.
 	repeatInterval = time.Second
@@ -21,7 +26,9 @@
 
 // flow is the state of the messages between peers.
 type flow struct {
-	flushed  mesh.Time
+	flushed mesh.Time
+	// sent is the time at which the pending evidence was last taken.
+	sent     mesh.Time
 	repeated mesh.Time
 	sequence uint64
 	// sequences holds the last message with evidence from each peer.
@@ -78,7 +85,11 @@
 // sendEvidence sends the pending evidence. Receivers keep the slice, so each
 // flush with evidence uses a new one.
 func (r *Reducer) sendEvidence(now mesh.Time, out *Effects) {
-	reports := r.pending.take(nil)
+	var reports []Report
+	if r.pending.countsNew() || now.Sub(r.flow.sent) >= idleInterval {
+		r.flow.sent = now
+		reports = r.pending.take(nil)
+	}
 	if r.top() {
 		r.collect(now, reports)
 		r.judge(now, out)
--- a/internal/moves/flow_test.go
+++ b/internal/moves/flow_test.go
@@ -37,3 +37,25 @@
 	is.Equal(out.Sends[0].To, mesh.HostID("a-3"))
 	is.Equal(tick(), 0)
 }
+
+// Guards against evidence on the new version that waits as long as evidence on
+// the old version alone may.
+func TestOnlyOldEvidenceWaits(t *testing.T) {
+	is := is.New(t)
+	r, out := follower(state(1, Running, 500))
+	r.SetLinks(Links{Up: "host-0"})
+	sent := func(now mesh.Time, v mesh.BackendVersion) int {
+		r.Record(now, callTo(v))
+		out.Reset()
+		r.flush(now, out)
+		evidence := 0
+		for i := range out.Sends {
+			evidence += len(out.Sends[i].Message.Evidence)
+		}
+		return evidence
+	}
+	is.Equal(sent(start, "v1"), 1)
+	is.Equal(sent(start.Add(flushInterval), "v1"), 0)
+	is.Equal(sent(start.Add(idleInterval), "v1"), 1)
+	is.Equal(sent(start.Add(idleInterval+flushInterval), "v2"), 1)
+}
