--- a/internal/distribution/distribution_test.go
+++ b/internal/distribution/distribution_test.go
@@ -42,7 +42,7 @@
 func headResult(id uint64, full []byte, version mesh.ConfigVersion) *platform.Result {
 	value := fmt.Sprintf(`{"version":%d,"hash":%q,"writer":"w"}`, version, lineContent{}.Hash(full))
 	return &platform.Result{ID: id, Op: platform.OpRead, Status: platform.OK,
-		Rows: []platform.Row{{Key: HeadKey, Value: []byte(value), Revision: 1}}}
+		Rows: []platform.Row{{Key: platform.HeadKey, Value: []byte(value), Revision: 1}}}
 }
 
 // Guards against a fresh head from a read that began before the request (G1),
@@ -107,8 +107,8 @@
 	now := simEpoch.Add(time.Minute)
 	r.Tick(now, 1, &out)
 	history := out.Platform[len(out.Platform)-1]
-	is.Equal(history.Keys, []string{HistoryKey(3)})
-	row := platform.Row{Key: HistoryKey(3), Value: []byte(`{"hash":"` + lineContent{}.Hash(goodContent) + `","operator":"o"}`)}
+	is.Equal(history.Keys, []string{platform.HistoryKey(3)})
+	row := platform.Row{Key: platform.HistoryKey(3), Value: []byte(`{"hash":"` + lineContent{}.Hash(goodContent) + `","operator":"o"}`)}
 	out.Reset()
 	r.PlatformResult(now, &platform.Result{ID: history.ID, Op: history.Op, Status: platform.OK, Rows: []platform.Row{row}}, &out)
 	object := out.Platform[0]
--- a/internal/distribution/encoding.go
+++ b/internal/distribution/encoding.go
@@ -42,13 +42,6 @@
 	partMissing
 )
 
-func bit(flag byte, set bool) byte {
-	if set {
-		return flag
-	}
-	return 0
-}
-
 // EncodeMessages returns the compact encoding of messages to one peer.
 func EncodeMessages(messages []Message) []byte {
 	return wire.EncodeList(messages, (*Message).write)
@@ -61,9 +54,9 @@
 }
 
 func (m *Message) write(w *wire.Writer) {
-	w.Byte(bit(partStatus, m.Status != nil) | bit(partPush, m.Push != nil) | bit(partPull, m.Pull != nil) |
-		bit(partFreshRequest, m.FreshRequest != 0) | bit(partFresh, m.Fresh != nil) | bit(partItems, len(m.Items) > 0) |
-		bit(partItemSteps, len(m.ItemSteps) > 0) | bit(partWantItems, len(m.WantItems) > 0))
+	w.Byte(wire.FlagIf(partStatus, m.Status != nil) | wire.FlagIf(partPush, m.Push != nil) | wire.FlagIf(partPull, m.Pull != nil) |
+		wire.FlagIf(partFreshRequest, m.FreshRequest != 0) | wire.FlagIf(partFresh, m.Fresh != nil) | wire.FlagIf(partItems, len(m.Items) > 0) |
+		wire.FlagIf(partItemSteps, len(m.ItemSteps) > 0) | wire.FlagIf(partWantItems, len(m.WantItems) > 0))
 	if m.Status != nil {
 		m.Status.write(w)
 	}
@@ -138,12 +131,7 @@
 }
 
 func readList[T any](r *wire.Reader, read func() T) []T {
-	count := r.Uint(maxListEntries)
-	var out []T
-	for i := uint64(0); i < count && r.OK(); i++ {
-		out = append(out, read())
-	}
-	return out
+	return wire.ReadList(r, maxListEntries, func(*wire.Reader, *T) T { return read() })
 }
 
 // writeHead writes the hash as its 32 bytes.
@@ -174,8 +162,8 @@
 }
 
 func (s *Status) write(w *wire.Writer) {
-	w.Byte(bit(partReply, s.Reply) | bit(partAck, s.Ack != nil) | bit(partDomains, len(s.Domains) > 0) |
-		bit(partAggregates, len(s.Aggregates) > 0))
+	w.Byte(wire.FlagIf(partReply, s.Reply) | wire.FlagIf(partAck, s.Ack != nil) | wire.FlagIf(partDomains, len(s.Domains) > 0) |
+		wire.FlagIf(partAggregates, len(s.Aggregates) > 0))
 	w.Uint(uint64(s.Head))
 	w.Uint(uint64(s.Applied))
 	w.Uint(uint64(s.Held))
@@ -226,7 +214,7 @@
 }
 
 func (a *Ack) write(w *wire.Writer) {
-	w.Byte(bit(partRejection, a.Rejection != nil) | bit(partMissing, len(a.Missing) > 0))
+	w.Byte(wire.FlagIf(partRejection, a.Rejection != nil) | wire.FlagIf(partMissing, len(a.Missing) > 0))
 	w.Uint(uint64(a.Version))
 	w.Uint(uint64(a.InForce))
 	w.Uint(uint64(a.Total))
--- a/internal/distribution/fetch.go
+++ b/internal/distribution/fetch.go
@@ -166,7 +166,7 @@
 	if f.hash == "" {
 		f.historyRead = r.reads.nextID()
 		out.Platform = append(out.Platform, platform.Request{
-			ID: f.historyRead, Op: platform.OpRead, Keys: []string{HistoryKey(f.version)},
+			ID: f.historyRead, Op: platform.OpRead, Keys: []string{platform.HistoryKey(f.version)},
 		})
 		return
 	}
@@ -177,7 +177,7 @@
 func (r *Reducer) acceptHistory(now mesh.Time, res *platform.Result, out *Output) {
 	f := &r.fetch
 	f.historyRead = 0
-	if res.Status != platform.OK || len(res.Rows) == 0 || res.Rows[0].Key != HistoryKey(f.version) {
+	if res.Status != platform.OK || len(res.Rows) == 0 || res.Rows[0].Key != platform.HistoryKey(f.version) {
 		return
 	}
 	var row HeadRow
--- a/internal/distribution/reads.go
+++ b/internal/distribution/reads.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"math/rand/v2"
-	"strconv"
 	"strings"
 	"time"
 
@@ -23,10 +22,6 @@
 	// maxWaiters bounds the peers that wait for a fresh head.
 	maxWaiters = 1024
 
-	// HeadKey is the key of the row that names the accepted configuration.
-	HeadKey = "head"
-	// HistoryPrefix precedes the version in the keys of the history rows.
-	HistoryPrefix = "history/"
 	// ItemPrefix precedes the ID in the keys of the rows of items.
 	ItemPrefix = "moves/"
 )
@@ -60,11 +55,6 @@
 	return Head(row), nil
 }
 
-// HistoryKey returns the key of the history row of a version.
-func HistoryKey(v mesh.ConfigVersion) string {
-	return HistoryPrefix + strconv.FormatUint(uint64(v), 10)
-}
-
 // waiter is a peer that waits for a fresh head.
 type waiter struct {
 	host  mesh.HostID
@@ -126,7 +116,7 @@
 	}
 	p.head, p.started, p.next = p.nextID(), now, now.Add(PollInterval)
 	p.served, p.waiting = p.waiting, nil
-	req := platform.Request{ID: p.head, Op: platform.OpRead, Keys: []string{HeadKey}}
+	req := platform.Request{ID: p.head, Op: platform.OpRead, Keys: []string{platform.HeadKey}}
 	if r.settings.ItemStep != nil {
 		req.Prefixes = []string{ItemPrefix}
 	}
@@ -175,7 +165,7 @@
 // headOf returns the head among the rows, or version zero if there is none.
 func headOf(rows []platform.Row) (Head, error) {
 	for i := range rows {
-		if rows[i].Key == HeadKey {
+		if rows[i].Key == platform.HeadKey {
 			return ParseHeadRow(rows[i].Value)
 		}
 	}
--- a/internal/distribution/sim_test.go
+++ b/internal/distribution/sim_test.go
@@ -260,7 +260,7 @@
 func (s *sim) publish(publisher *simHost, full []byte) {
 	s.head = Head{Version: s.head.Version + 1, Hash: lineContent{}.Hash(full)}
 	row, _ := json.Marshal(HeadRow(s.head))
-	s.rows[HeadKey], s.rows[HistoryKey(s.head.Version)] = row, row
+	s.rows[platform.HeadKey], s.rows[platform.HistoryKey(s.head.Version)] = row, row
 	s.objects[s.head.Hash] = full
 	if publisher != nil && publisher.up {
 		s.logf(publisher, "published %s", s.head.Version)
--- a/internal/membership/batch.go
+++ b/internal/membership/batch.go
@@ -41,7 +41,7 @@
 	w.Int(int64(r.Incarnation - prev.Incarnation))
 	w.Int(int64(r.Incarnation - r.Started))
 	w.Byte(byte(r.State))
-	w.Byte(flagIf(flagEstablished, r.Established))
+	w.Byte(wire.FlagIf(flagEstablished, r.Established))
 	if !r.Live() {
 		w.Int(int64(r.Ended))
 	}
@@ -59,7 +59,7 @@
 	writeString(w, string(prev.Service), string(b.Service))
 	writeString(w, string(prev.Version), string(b.Version))
 	w.Uint(uint64(b.Slots))
-	w.Byte(flagIf(flagDraining, b.Draining))
+	w.Byte(wire.FlagIf(flagDraining, b.Draining))
 }
 
 // firstBackend returns the reference for the first backend server of the
@@ -71,13 +71,6 @@
 	return prev.Backends[0]
 }
 
-func flagIf(flag byte, set bool) byte {
-	if set {
-		return flag
-	}
-	return 0
-}
-
 func writeString(w *wire.Writer, ref, s string) { w.Prefixed(ref, s) }
 
 func readString(r *wire.Reader, ref string) string { return r.Prefixed(ref, maxStringBytes) }
--- a/internal/membership/encoding.go
+++ b/internal/membership/encoding.go
@@ -34,9 +34,9 @@
 
 func (m *Message) write(w *wire.Writer) {
 	w.Byte(byte(m.Kind))
-	w.Byte(flagIf(partUnreachable, len(m.Unreachable) > 0) | flagIf(partRecords, len(m.Records) > 0) |
-		flagIf(partRepair, m.Repair != nil) | flagIf(partDigest, m.Digest != 0) |
-		flagIf(partPlace, m.Place != nil))
+	w.Byte(wire.FlagIf(partUnreachable, len(m.Unreachable) > 0) | wire.FlagIf(partRecords, len(m.Records) > 0) |
+		wire.FlagIf(partRepair, m.Repair != nil) | wire.FlagIf(partDigest, m.Digest != 0) |
+		wire.FlagIf(partPlace, m.Place != nil))
 	if m.Digest != 0 {
 		w.Fixed(m.Digest)
 	}
@@ -98,7 +98,7 @@
 }
 
 func (s *Repair) write(w *wire.Writer) {
-	w.Byte(flagIf(1, s.Local))
+	w.Byte(wire.FlagIf(1, s.Local))
 	w.Uint(uint64(len(s.Digests)))
 	prev := ""
 	for _, d := range s.Digests {
