--- a/internal/distribution/sim_test.go
+++ b/internal/distribution/sim_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/membership"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 )
 
 const (
