Record calls that may have run in the timeline

Cause: the timeline could be filtered by call, but no entry named one; log lines carried empty fields and the key host twice. Change: non-idempotent calls that end as duplicate or may-have-run leave an entry with their identity; such entries are not logged. Log lines have only the fields that are set.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -25,6 +25,7 @@
 	// claimed once that identity was granted.
 	identified bool
 	claimed    bool
+	identity   claims.Identity
 	// sent is set while an attempt is in flight to target.
 	sent   bool
 	sentAt mesh.Time
@@ -136,6 +137,7 @@
 		n.reject(c.id, mesh.NotRun, mesh.ReasonBadIdentity, out)
 		return
 	}
+	c.identity = id
 	n.counters.ClaimsAsked++
 	n.claims.Claim(ev.Now, c.id, id, &n.scratch.claims)
 	n.flushClaims(ev.Now, ev.Seed, out)
@@ -158,6 +160,7 @@
 		n.reject(c.id, mesh.NotRun, mesh.ReasonBadIdentity, out)
 	case claims.VerdictDuplicate:
 		n.reject(c.id, mesh.MayHaveRun, mesh.ReasonDuplicate, out)
+		n.noteIdentified(c, "call.duplicate", mesh.ReasonDuplicate, out)
 	default:
 		n.reject(c.id, mesh.MayHaveRun, mesh.ReasonClaimUnavailable, out)
 	}
@@ -282,6 +285,9 @@
 		})
 	default:
 		n.reject(c.id, d.Outcome, d.Reason, out)
+		if d.Outcome == mesh.MayHaveRun {
+			n.noteIdentified(c, "call.may_have_run", d.Reason, out)
+		}
 	}
 	if c.claimed && d.Outcome == mesh.NotRun {
 		n.claims.Release(now, c.id, &n.scratch.claims)
@@ -292,6 +298,16 @@
 	n.endCall(c)
 }
 
+// noteIdentified records the end of a non-idempotent call whose caller cannot
+// tell from it whether the request ran.
+func (n *Node) noteIdentified(c *call, kind string, reason mesh.Reason, out *Ready) {
+	if c.identified {
+		out.Timeline = append(out.Timeline, TimelineEntry{
+			Kind: kind, Call: c.identity.String(), Detail: reason.String(), Host: n.settings.Host,
+		})
+	}
+}
+
 // callCancelled ends a call whose caller has gone. An attempt in flight counts
 // neither for nor against its target.
 func (n *Node) callCancelled(ev *Event, _ *Ready) {
--- a/internal/runtime/step.go
+++ b/internal/runtime/step.go
@@ -81,12 +81,34 @@
 	n.opts.Metrics.LateEffects.Add(1)
 }
 
+// record adds an entry to the timeline. Entries about single calls are not
+// logged: counters tell how many there are.
 func (n *Node) record(at mesh.Time, e *core.TimelineEntry) {
 	n.ring.Add(timeline.Entry{
 		Clock: n.clock.Now(at), Recorder: n.opts.Host,
 		Kind: e.Kind, Detail: e.Detail, Config: e.Config, Move: e.Move, Host: e.Host, Call: e.Call,
 	})
-	n.opts.Log.Info(e.Kind, "detail", e.Detail, "config", uint64(e.Config), "move", string(e.Move), "host", string(e.Host))
+	if e.Call == "" {
+		n.opts.Log.Info(e.Kind, logAttributes(e)...)
+	}
+}
+
+// logAttributes returns the fields of an entry that are set. The host that an
+// entry is about is named "about", as "host" is the logging host.
+func logAttributes(e *core.TimelineEntry) []any {
+	attrs := make([]any, 0, 8)
+	add := func(key, value string) {
+		if value != "" {
+			attrs = append(attrs, key, value)
+		}
+	}
+	add("detail", e.Detail)
+	add("move", string(e.Move))
+	add("about", string(e.Host))
+	if e.Config != 0 {
+		attrs = append(attrs, "config", uint64(e.Config))
+	}
+	return attrs
 }
 
 // Timeline returns a copy of this host's timeline, oldest first.
