Export the reducer's counters and the version in force

Cause: retries, late answers, ejections, claims and crashes were only in the reply to chicoryctl status, and the pools' labels differed from their page. Change: one callback reads the reducer's counters at a scrape; chicory_config_applied is the version in force; pools are named peer and backend as documented.

--- a/internal/nodeproc/nodeproc.go
+++ b/internal/nodeproc/nodeproc.go
@@ -36,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	stopMetrics, err := serveMetrics(s.Addresses.Metrics, opts.Metrics, node)
+	stopMetrics, err := serveMetrics(s.Addresses.Metrics, opts.Metrics, node, reducer)
 	if err != nil {
 		return err
 	}
@@ -75,9 +75,13 @@
 }
 
 // serveMetrics serves the scrape endpoint and returns the function that stops it.
-func serveMetrics(addr string, m *telemetry.Metrics, node *runtime.Node) (func(), error) {
+func serveMetrics(addr string, m *telemetry.Metrics, node *runtime.Node, reducer *core.Node) (func(), error) {
 	peers, backends := node.ConnCounters()
-	exporter, err := telemetry.NewExporter(m, map[string]*connpool.Counters{"peers": peers, "backends": backends})
+	pools := map[string]*connpool.Counters{"peer": peers, "backend": backends}
+	exporter, err := telemetry.NewExporter(m, pools, func() (state telemetry.ReducerState) {
+		node.Inspect(func() { state = telemetry.ReducerState{Counters: reducer.Counters(), Applied: reducer.Applied()} })
+		return state
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/runtime/node.go
+++ b/internal/runtime/node.go
@@ -97,6 +97,13 @@
 	return n.callListener.Addr().String(), n.peerListener.Addr().String(), n.control.listener.Addr().String()
 }
 
+// Inspect runs f while no step runs, so that f may read the reducer.
+func (n *Node) Inspect(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
 // ConnCounters returns the counters of the connections to peers and to the
 // backend servers of this host.
 func (n *Node) ConnCounters() (peers, backends *connpool.Counters) {
--- a/internal/telemetry/export.go
+++ b/internal/telemetry/export.go
@@ -31,9 +31,9 @@
 	handler  fasthttp.RequestHandler
 }
 
-// NewExporter registers the instruments that read m and the connection counters
-// of the pools, by pool name ("peer", "backend").
-func NewExporter(m *Metrics, pools map[string]*connpool.Counters) (*Exporter, error) {
+// NewExporter registers the instruments that read m, the connection counters of
+// the pools, by pool name ("peer", "backend"), and the state of the reducer.
+func NewExporter(m *Metrics, pools map[string]*connpool.Counters, reducer func() ReducerState) (*Exporter, error) {
 	registry := prometheus.NewRegistry()
 	reader, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo(), otelprometheus.WithoutTargetInfo())
 	if err != nil {
@@ -44,6 +44,9 @@
 	if err := register(meter, m, pools); err != nil {
 		return nil, err
 	}
+	if err := registerReducer(meter, reducer); err != nil {
+		return nil, err
+	}
 	scrape := promhttp.HandlerFor(registry, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes})
 	return &Exporter{provider: provider, handler: fasthttpadaptor.NewFastHTTPHandler(metricsOnly(scrape))}, nil
 }
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -13,6 +13,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/chicoryscale/chicoryscale/internal/connpool"
+	"github.com/chicoryscale/chicoryscale/internal/core"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 )
 
@@ -36,7 +37,9 @@
 	m.CallDone(200, 200) // out of range: counted, no panic
 	m.GateDone(3)
 	m.ControlBytes(Sent, CauseDeliver, 42)
-	e, err := NewExporter(m, map[string]*connpool.Counters{"peer": {}})
+	e, err := NewExporter(m, map[string]*connpool.Counters{"peer": {}}, func() ReducerState {
+		return ReducerState{Counters: core.Counters{Retries: 7}, Applied: 3}
+	})
 	is.NoErr(err)
 	defer func() { is.NoErr(e.Close(context.Background())) }()
 	text := scrape(t, e)
@@ -44,6 +47,8 @@
 		`chicory_calls_total{outcome="not-run",reason="overload"} 1`,
 		`chicory_gate_calls_total{result="lost"} 1`,
 		`chicory_control_bytes_total{cause="deliver",direction="sent"} 42`,
+		`chicory_retries_total 7`,
+		`chicory_config_applied 3`,
 	} {
 		is.True(strings.Contains(text, line)) // exported line
 	}
