Use the field's terms for partitions, truncation and misreported load

Cause: comments, names and messages used everyday words for them. Change: wording only; the faults of the routing model are misreported-load and misreported-health. Result: tests of the changed packages pass.

--- a/internal/backend/behaviour_test.go
+++ b/internal/backend/behaviour_test.go
@@ -59,15 +59,15 @@
 	is.Equal(b.planFor(time.Minute, 5, []byte("/depot")), plan{serviceTime: usual})
 }
 
-// Guards against a health endpoint that cannot lag or lie.
+// Guards against a health endpoint that cannot lag or misreport.
 func TestHealthLagsAndLies(t *testing.T) {
 	is := is.New(t)
 	at := func(second int64) time.Time { return time.Unix(1000+second, 0) }
 	busy := load{InUse: 3, Queued: 1, Draining: true}
 	honest := &health{slots: 4}
 	is.Equal(honest.report(at(0), busy), Health{Ready: false, Slots: 4, InUse: 3, Queued: 1})
-	lying := &health{slots: 4, settings: settings.Health{AlwaysReady: true}}
-	is.Equal(lying.report(at(0), busy), Health{Ready: true, Slots: 4})
+	misreporting := &health{slots: 4, settings: settings.Health{AlwaysReady: true}}
+	is.Equal(misreporting.report(at(0), busy), Health{Ready: true, Slots: 4})
 	late := &health{slots: 4, settings: settings.Health{Lag: 5 * time.Second}}
 	for second := range int64(20) {
 		late.add(at(second), load{InUse: int(second)})
--- a/internal/callsim/backend.go
+++ b/internal/callsim/backend.go
@@ -29,10 +29,10 @@
 	switch s.config.Fault {
 	case SlowInstance:
 		b.slow = slowdown
-	case LyingLoad:
+	case MisreportedLoad:
 		b.slots = max(1, b.slots/slotsClaimed)
 		b.lies = true
-	case LyingHealth:
+	case MisreportedHealth:
 		b.fails = true
 	}
 	return b
--- a/internal/callsim/deployment.go
+++ b/internal/callsim/deployment.go
@@ -78,16 +78,16 @@
 	Healthy Fault = "healthy"
 	// SlowInstance works at a fifth of the normal speed.
 	SlowInstance Fault = "slow-instance"
-	// LyingLoad announces three times its real slots and reports no load.
-	LyingLoad Fault = "lying-load"
-	// LyingHealth announces itself ready and quickly fails each call.
-	LyingHealth Fault = "lying-health"
+	// MisreportedLoad announces three times its real slots and reports no load.
+	MisreportedLoad Fault = "misreported-load"
+	// MisreportedHealth announces itself ready and quickly fails each call.
+	MisreportedHealth Fault = "misreported-health"
 	// DomainLost stops all hosts of the first failure domain at lossTime.
 	DomainLost Fault = "domain-lost"
 )
 
 // Faults lists all faults.
-var Faults = []Fault{Healthy, SlowInstance, LyingLoad, LyingHealth, DomainLost}
+var Faults = []Fault{Healthy, SlowInstance, MisreportedLoad, MisreportedHealth, DomainLost}
 
 const (
 	meanServiceTime = 10 * time.Millisecond
@@ -95,7 +95,7 @@
 	serviceTimeSigma = 0.6
 	localDelay       = 100 * time.Microsecond
 	slowdown         = 5
-	slotsClaimed     = 3 // announced slots per real slot of a lying instance
+	slotsClaimed     = 3 // announced slots per real slot of an instance that misreports them
 	quickFailure     = 500 * time.Microsecond
 	// connectTimeout is the time after which a lost host is noticed.
 	connectTimeout = 50 * time.Millisecond
--- a/internal/claims/manager.go
+++ b/internal/claims/manager.go
@@ -11,7 +11,7 @@
 // Pace of the manager.
 const (
 	// manageInterval is the pause between view changes of a domain, so that a
-	// herd of restarts costs a few writes.
+	// mass restart costs a few writes.
 	manageInterval = time.Second
 	// rebalanceInterval and rebalanceShards bound the transfers that only even
 	// out the load, because each change of a view travels to every node.
--- a/internal/membership/detect.go
+++ b/internal/membership/detect.go
@@ -107,7 +107,7 @@
 }
 
 // isolated reports whether no host at all is heard. It is then more likely
-// that this host is cut off than that all others have died. After
+// that this host is partitioned than that all others have died. After
 // isolationLimit the neighbours are judged nevertheless.
 func (r *Reducer) isolated(now mesh.Time) bool {
 	silence := now.Sub(r.lastHeard)
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -144,7 +144,7 @@
 		}
 	}
 	is.Equal(m.nodes[0].LiveCount("d0"), 8)
-	// The cut-off host judges nobody, as it hears nobody.
+	// The partitioned host judges nobody, as it hears nobody.
 	is.Equal(victim.LiveCount("d0"), 9)
 	m.drop = nil
 	m.run(15 * time.Second)
--- a/internal/membership/retire_test.go
+++ b/internal/membership/retire_test.go
@@ -35,7 +35,7 @@
 	}
 }
 
-// Guards against a failure domain that was cut off for longer than retention
+// Guards against a failure domain that was partitioned for longer than retention
 // and keeps the member alive.
 func TestStalePeerIsCorrected(t *testing.T) {
 	is := is.New(t)
--- a/internal/moves/moves_test.go
+++ b/internal/moves/moves_test.go
@@ -44,7 +44,7 @@
 }
 
 // Guards against a version that receives calls again after its withdrawal, and
-// against a completed move that is taken back by a late message.
+// against a completed move that is withdrawn by a late message.
 func TestTerminalStateIsFinal(t *testing.T) {
 	is := is.New(t)
 	r, out := follower(state(4, Running, 500), state(5, Withdrawn, 0))
--- a/internal/moves/movesim/cluster.go
+++ b/internal/moves/movesim/cluster.go
@@ -42,7 +42,7 @@
 	Now   mesh.Time
 	Nodes []*Node
 	Table *Table
-	// Isolated is the domain cut off from the others and the platform, or -1.
+	// Isolated is the domain partitioned from the others and the platform, or -1.
 	Isolated int
 	domains  []mesh.FailureDomain
 	rng      *rand.Rand
--- a/internal/moves/movesim/failure_test.go
+++ b/internal/moves/movesim/failure_test.go
@@ -124,8 +124,8 @@
 	is.True(fence >= 2)
 }
 
-// Guards against a share that is raised in a domain cut off from the driver, and
-// on a driver that is cut off from the platform.
+// Guards against a share that is raised in a domain partitioned from the driver, and
+// on a driver that cannot reach the platform.
 func TestShareIsNotRaisedWhilePartitioned(t *testing.T) {
 	is := is.New(t)
 	for _, withDriver := range []bool{false, true} {
--- a/internal/moves/movesim/report.go
+++ b/internal/moves/movesim/report.go
@@ -24,7 +24,7 @@
 		printRow(w, f.String(), kept, early)
 	}
 	s := Summarise(results)
-	fmt.Fprintf(w, "all: good in time %.4f, bad taken back %.4f, bad calls %.4f (mean of moves %.4f, faulty %.4f), late max %.2f s in %d moves, false withdrawals %.4f\n",
+	fmt.Fprintf(w, "all: good in time %.4f, bad withdrawn %.4f, bad calls %.4f (mean of moves %.4f, faulty %.4f), late max %.2f s in %d moves, false withdrawals %.4f\n",
 		s.GoodDoneShare, s.BadTakenBackShare, s.BadCallShare, s.BadCallShareMean, s.BadFaultyShare,
 		s.BadCallAfterFaultSMax, s.LateMoves, s.FalseWithdrawalShare)
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -14,7 +14,7 @@
 var (
 	// Errors is the namespace of this package's errors.
 	Errors = errorx.NewNamespace("wire")
-	// ErrMalformed is the type of errors for input that is cut off or exceeds a
+	// ErrMalformed is the type of errors for input that is truncated or exceeds a
 	// limit.
 	ErrMalformed = Errors.NewType("malformed")
 )
@@ -95,7 +95,7 @@
 func (r *Reader) Uint(limit uint64) uint64 {
 	v, n := binary.Uvarint(r.data)
 	if n <= 0 || v > limit {
-		r.Fail("number is cut off or above %d", limit)
+		r.Fail("number is truncated or above %d", limit)
 		return 0
 	}
 	r.data = r.data[n:]
@@ -106,7 +106,7 @@
 func (r *Reader) Int() int64 {
 	v, n := binary.Varint(r.data)
 	if n <= 0 {
-		r.Fail("number is cut off")
+		r.Fail("number is truncated")
 		return 0
 	}
 	r.data = r.data[n:]
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -47,7 +47,7 @@
 }
 
 // Guards against input from a peer that crashes the node, exceeds a limit, or
-// is taken although it is cut off.
+// is taken although it is truncated.
 func TestMalformedInput(t *testing.T) {
 	overflow := []byte{255, 255, 255, 255, 255, 255, 255, 255, 255, 255, 1}
 	for name, c := range map[string]struct {
@@ -55,10 +55,10 @@
 		read func(*Reader)
 	}{
 		"uint empty":            {nil, func(r *Reader) { r.Uint(9) }},
-		"uint cut off":          {[]byte{128}, func(r *Reader) { r.Uint(999) }},
+		"uint truncated":        {[]byte{128}, func(r *Reader) { r.Uint(999) }},
 		"uint above limit":      {[]byte{10}, func(r *Reader) { r.Uint(9) }},
 		"uint over 64 bits":     {overflow, func(r *Reader) { r.Uint(math.MaxUint64) }},
-		"int cut off":           {[]byte{128}, func(r *Reader) { r.Int() }},
+		"int truncated":         {[]byte{128}, func(r *Reader) { r.Int() }},
 		"int over 64 bits":      {overflow, func(r *Reader) { r.Int() }},
 		"fixed cut off":         {make([]byte, 7), func(r *Reader) { r.Fixed() }},
 		"byte empty":            {nil, func(r *Reader) { r.Byte() }},
