--- a/internal/config/toml_test.go
+++ b/internal/config/toml_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"path/filepath"
 	"testing"
 
 	"github.com/matryer/is"
@@ -75,3 +76,19 @@
 		}
 	})
 }
+
+// Guards against examples that the documentation offers and that are refused.
+func TestExamplesAreValid(t *testing.T) {
+	is := is.New(t)
+	files, err := filepath.Glob("../../examples/*.toml")
+	is.NoErr(err)
+	is.Equal(len(files), 2)
+	for _, file := range files {
+		data, err := os.ReadFile(file)
+		is.NoErr(err)
+		snapshot, err := ParseTOML(file, data)
+		is.NoErr(err)
+		_, err = Accept(snapshot)
+		is.NoErr(err)
+	}
+}
