Hand claim shards over before a node leaves

Cause: a planned stop left the shards of the node without an owner until the next view, so that orders were rejected as may-have-run for up to 480 ms. Change: a stopping node drains its gate, announces its backend servers as draining and tells the manager; the manager replaces it in the view while it still serves, and the node leaves once it owns no shard or after 800 ms. TestLeavingMemberHandsItsShardsOver fails with the hand-over switched off.

--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -372,3 +372,26 @@
 		}
 	})
 }
+
+// Guards against a planned stop that loses records: an order granted before is
+// still a duplicate, and later ones are granted, once the leaving member has
+// handed its shard over.
+func TestLeavingMemberHandsItsShardsOver(t *testing.T) {
+	is := is.New(t)
+	g := newGroup("a", "b", "c")
+	g.settle(60 * time.Second)
+	id := identityAt(g.now, 7)
+	is.Equal(g.claim("a", 1, id), VerdictGranted)
+	leaving := g.shard(id).Primary.Host
+	g.nodes[leaving].Leave()
+	g.settle(3 * time.Second)
+	is.True(!g.nodes[leaving].OwnsShards())
+	g.nodes[leaving].Stop()
+	g.stop(leaving)
+	for i, h := range g.hosts {
+		if h != leaving {
+			is.Equal(g.claim(h, mesh.CallID(10+i), id), VerdictDuplicate)
+			is.Equal(g.claim(h, mesh.CallID(20+i), identityAt(g.now, byte(30+i))), VerdictGranted)
+		}
+	}
+}
--- a/internal/claims/encoding.go
+++ b/internal/claims/encoding.go
@@ -88,7 +88,7 @@
 func readMessage(r *wire.Reader) Message {
 	m := Message{Kind: MessageKind(r.Byte())}
 	parts := r.Byte()
-	if m.Kind < MsgClaim || m.Kind > MsgSynced {
+	if m.Kind < MsgClaim || m.Kind > MsgLeaving {
 		r.Fail("message has the unknown kind %d", m.Kind)
 	}
 	m.From = Replica{Host: mesh.HostID(r.String(maxNameBytes)), Started: mesh.Time(r.Int())}
--- a/internal/claims/encoding_test.go
+++ b/internal/claims/encoding_test.go
@@ -23,6 +23,7 @@
 		}},
 		{Kind: MsgAck, From: asker, Domain: "ifrane", Shard: 63, Epoch: 4, Seq: 300},
 		{Kind: MsgSynced, From: asker, Domain: "ifrane", Epoch: 5},
+		{Kind: MsgLeaving, From: asker, Domain: "ifrane"},
 	}
 }
 
--- a/internal/claims/manager.go
+++ b/internal/claims/manager.go
@@ -39,8 +39,10 @@
 // revision decides which proposal takes effect.
 type manager struct {
 	// hosts are the nodes that primaries report to.
-	hosts    []mesh.HostID
-	synced   [ShardCount]syncReport
+	hosts  []mesh.HostID
+	synced [ShardCount]syncReport
+	// leaving holds the replicas that announced that they stop soon.
+	leaving  map[Replica]bool
 	known    bool
 	revision platform.Revision
 	nextID   uint64
@@ -124,21 +126,39 @@
 		next = v.clone()
 	}
 	live := dir.Live(s.domain)
+	staying := s.manager.staying(live)
 	changed := false
 	for i := range next.Shards {
 		report := s.manager.synced[i]
 		synced := report.epoch == next.Shards[i].Epoch && report.primary == next.Shards[i].Primary
-		shard, ok := nextShard(i, next.Shards[i], live, dir, synced, now)
+		shard, ok := nextShard(i, next.Shards[i], live, staying, dir, synced, now)
 		next.Shards[i] = shard
 		changed = changed || ok
 	}
 	if !changed && now >= s.manager.rebalanceAt {
 		s.manager.rebalanceAt = now.Add(rebalanceInterval)
-		changed = rebalanceSome(next, live)
+		changed = rebalanceSome(next, staying)
 	}
 	return next, changed
 }
 
+// staying returns the live replicas that are not about to leave, and forgets
+// the leaving ones that are no longer live.
+func (m *manager) staying(live []Replica) []Replica {
+	for r := range m.leaving {
+		if !contains(live, r) {
+			delete(m.leaving, r)
+		}
+	}
+	staying := make([]Replica, 0, len(live))
+	for _, r := range live {
+		if !m.leaving[r] {
+			staying = append(staying, r)
+		}
+	}
+	return staying
+}
+
 func rebalanceSome(v *View, live []Replica) bool {
 	moved := 0
 	for i := range v.Shards {
--- a/internal/claims/message.go
+++ b/internal/claims/message.go
@@ -21,6 +21,9 @@
 	MsgAck
 	// MsgSynced tells the manager that the backup has all records.
 	MsgSynced
+	// MsgLeaving tells the manager that the sender stops soon and that its shards
+	// should continue elsewhere.
+	MsgLeaving
 )
 
 // Message is a control message between nodes. EncodeMessages omits the fields
--- a/internal/claims/state.go
+++ b/internal/claims/state.go
@@ -74,6 +74,9 @@
 	pending    map[uint64]pendingClaim
 	grants     map[mesh.CallID]grant
 	stopped    bool
+	// leaving is set from Leave on; leaveAt is the time of the next MsgLeaving.
+	leaving bool
+	leaveAt mesh.Time
 	// local holds messages from this node to itself within a step.
 	local []Message
 }
@@ -86,6 +89,7 @@
 		views:   make(map[mesh.FailureDomain]*View),
 		pending: make(map[uint64]pendingClaim),
 		grants:  make(map[mesh.CallID]grant),
+		manager: manager{leaving: make(map[Replica]bool)},
 	}
 }
 
@@ -126,6 +130,43 @@
 // has not ended.
 func (s *State) Open() int { return len(s.pending) + len(s.grants) }
 
+// leaveInterval is the pause between repeated MsgLeaving.
+const leaveInterval = 200 * time.Millisecond
+
+// Leave asks the managers to give this node's shards to others. The node goes
+// on serving them until a new view names it no more, or until Stop.
+func (s *State) Leave() { s.leaving = true }
+
+// OwnsShards reports whether this node is a member of a shard.
+func (s *State) OwnsShards() bool {
+	for _, o := range s.owned {
+		if o != nil {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *State) tickLeaving(now mesh.Time, out *Effects) {
+	if !s.leaving || s.stopped || now < s.leaveAt {
+		return
+	}
+	s.leaveAt = now.Add(leaveInterval)
+	for _, host := range s.manager.hosts {
+		s.send(out, host, Message{Kind: MsgLeaving, Domain: s.domain})
+	}
+}
+
+// handleLeaving notes a replica that stops soon. The next view follows at once,
+// because the replica waits for it.
+func (s *State) handleLeaving(now mesh.Time, m *Message) {
+	if m.Domain != s.domain || s.manager.leaving[m.From] {
+		return
+	}
+	s.manager.leaving[m.From] = true
+	s.manager.actAt = min(s.manager.actAt, now)
+}
+
 // Stop ends this node's part in its shards before it leaves. It grants nothing
 // afterwards, so that its record as left is proof for a new view.
 func (s *State) Stop() {
@@ -143,6 +184,7 @@
 func (s *State) Tick(now mesh.Time, dir Directory, isManager bool, out *Effects) {
 	s.expireClaims(now, out)
 	s.tickOwned(now, out)
+	s.tickLeaving(now, out)
 	s.tickManager(now, dir, isManager, out)
 	s.deliverLocal(now, out)
 }
@@ -188,6 +230,8 @@
 		s.handleAck(m, out)
 	case MsgSynced:
 		s.manager.synced[m.Shard] = syncReport{epoch: m.Epoch, primary: m.From}
+	case MsgLeaving:
+		s.handleLeaving(now, m)
 	}
 }
 
--- a/internal/claims/view.go
+++ b/internal/claims/view.go
@@ -140,25 +140,38 @@
 }
 
 // nextShard returns the successor of shard i when membership or a completed
-// copy calls for one. synced is set when the primary reported a full copy.
-func nextShard(i int, s Shard, live []Replica, dir Directory, synced bool, now mesh.Time) (Shard, bool) {
+// copy calls for one. New members come from staying, the live replicas that are
+// not about to leave. synced is set when the primary reported a full copy.
+func nextShard(i int, s Shard, live, staying []Replica, dir Directory, synced bool, now mesh.Time) (Shard, bool) {
 	primaryLive, backupLive := contains(live, s.Primary), contains(live, s.Backup)
 	switch {
+	case primaryLive && backupLive && s.Joining && synced:
+		s.Joining = false
+		return s, true
 	case primaryLive && backupLive:
-		if s.Joining && synced {
-			s.Joining = false
-			return s, true
-		}
-		return s, false
+		return handOver(i, s, staying)
 	case primaryLive:
-		backup := choose(i, live, s.Primary)
+		backup := choose(i, staying, s.Primary)
 		return s.withBackup(s.Primary, backup), backup != s.Backup
 	case backupLive && s.full(s.Backup):
-		return s.withBackup(s.Backup, choose(i, live, s.Backup)), true
-	case canRestart(s, dir) && len(live) > 0:
-		primary := choose(i, live, Replica{})
+		return s.withBackup(s.Backup, choose(i, staying, s.Backup)), true
+	case canRestart(s, dir) && len(staying) > 0:
+		primary := choose(i, staying, Replica{})
 		s.Since = now
-		return s.withBackup(primary, choose(i, live, primary)), true
+		return s.withBackup(primary, choose(i, staying, primary)), true
+	}
+	return s, false
+}
+
+// handOver replaces a live member that is about to leave. A leaving primary
+// goes once its backup is full, so that the records are kept.
+func handOver(i int, s Shard, staying []Replica) (Shard, bool) {
+	switch {
+	case !contains(staying, s.Backup):
+		backup := choose(i, staying, s.Primary)
+		return s.withBackup(s.Primary, backup), backup != s.Backup
+	case !contains(staying, s.Primary) && s.full(s.Backup):
+		return s.withBackup(s.Backup, choose(i, staying, s.Backup)), true
 	}
 	return s, false
 }
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -92,7 +92,7 @@
 	a := ev.Announcement
 	err := n.members.Announce(ev.Now, membership.Announcement{
 		Backend: membership.Backend{
-			Instance: a.Instance, Service: a.Service, Version: a.Version, Slots: a.Slots, Draining: a.Draining,
+			Instance: a.Instance, Service: a.Service, Version: a.Version, Slots: a.Slots, Draining: a.Draining || n.drainedAt != 0,
 		},
 		Addr: a.Addr, Lease: time.Duration(a.LeaseMillis) * time.Millisecond,
 	}, &n.scratch.members)
--- a/internal/core/node.go
+++ b/internal/core/node.go
@@ -69,7 +69,8 @@
 	movesHeard    bool
 	poisonVersion uint64
 	applies       map[uint64][]byte
-	drainedAt     mesh.Time
+	drainedAt     mesh.Time // start of a graceful stop
+	leftAt        mesh.Time // announcement that the node leaves
 	expireAt      mesh.Time
 
 	scratch scratch
--- a/internal/core/operator.go
+++ b/internal/core/operator.go
@@ -15,6 +15,9 @@
 	// operatorDeadline bounds a command that needs the platform. It is shorter
 	// than the operator tool's timeout, so that a reason is reported.
 	operatorDeadline = 10 * time.Second
+	// handOverTime bounds the wait of a leaving node for other owners of its
+	// claim shards.
+	handOverTime = 800 * time.Millisecond
 	// drainAcceptTime is the time in which a leaving node still accepts calls
 	// from callers and forwards them, until callers have moved away.
 	drainAcceptTime = 500 * time.Millisecond
@@ -165,29 +168,55 @@
 	moves.EventEarlyReport: "early_report",
 }
 
-// drain begins a graceful stop. The claims stop before the node announces that
-// it leaves, because other nodes take the announcement as proof of that.
+// drain begins a graceful stop with the hand-over of the claim shards.
 func (n *Node) drain(ev *Event, out *Ready) {
 	if n.drainedAt != 0 {
 		return
 	}
 	n.drainedAt = ev.Now
-	n.claims.Stop()
-	n.members.Leave(ev.Now, &n.scratch.members)
-	n.flushMembers(ev.Now, out)
+	n.claims.Leave()
+	n.announceDraining(ev.Now, out)
 	n.scratch.gate = n.gate.Drain(ev.Now, n.scratch.gate)
 	n.flushGate(out)
 	out.Timeline = append(out.Timeline, TimelineEntry{Kind: "node.draining", Host: n.settings.Host})
 }
 
+// announceDraining takes the backend servers of this host out of the routing of
+// all nodes, before the node itself leaves.
+func (n *Node) announceDraining(now mesh.Time, out *Ready) {
+	for _, a := range n.members.Backends() {
+		a.Draining = true
+		if n.members.Announce(now, a, &n.scratch.members) != nil {
+			n.counters.BadMessages++ // unreachable: the announcement was accepted before
+		}
+	}
+	n.flushMembers(now, out)
+}
+
+// continueDrain leaves the mesh once the claim shards have other owners, or
+// after handOverTime. The claims stop before the node announces that it leaves,
+// because other nodes take the announcement as proof of that.
+func (n *Node) continueDrain(now mesh.Time, out *Ready) {
+	if n.drainedAt == 0 || n.leftAt != 0 {
+		return
+	}
+	if n.claims.OwnsShards() && now.Sub(n.drainedAt) < handOverTime && !n.members.Expelled() {
+		return
+	}
+	n.leftAt = now
+	n.claims.Stop()
+	n.members.Leave(now, &n.scratch.members)
+	n.flushMembers(now, out)
+}
+
 // draining reports whether calls from callers are no longer accepted.
 func (n *Node) draining(now mesh.Time) bool {
-	return n.drainedAt != 0 && now.Sub(n.drainedAt) >= drainAcceptTime
+	return n.leftAt != 0 && now.Sub(n.leftAt) >= drainAcceptTime
 }
 
 // checkDrained reports the end of a graceful stop.
 func (n *Node) checkDrained(now mesh.Time, out *Ready) {
-	if n.drainedAt != 0 && now.Sub(n.drainedAt) >= drainMinTime && n.gate.Empty() && len(n.calls) == 0 {
+	if n.leftAt != 0 && now.Sub(n.leftAt) >= drainMinTime && n.gate.Empty() && len(n.calls) == 0 {
 		out.Drained = true
 	}
 }
--- a/internal/core/tick.go
+++ b/internal/core/tick.go
@@ -26,6 +26,7 @@
 	n.scratch.gate = n.gate.Tick(now, n.scratch.gate)
 	n.flushGate(out)
 	n.updateInstances(now)
+	n.continueDrain(now, out)
 	n.checkDrained(now, out)
 }
 
