--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -27,6 +27,7 @@
 type app struct {
 	settingsPath string
 	output       string
+	check        bool
 	settings     *settings.Ctl
 	nodes        *nodes
 }
@@ -37,6 +38,14 @@
 	root := group("chicoryctl", "Operates a chicoryscale mesh", a.configCommand(), a.statusCommand(),
 		a.classesCommand(), a.movesCommand(), a.nodesCommand(), a.drainCommand(), a.timelineCommand())
 	root.SilenceUsage, root.SilenceErrors = true, true
+	withoutCommand := root.RunE
+	root.RunE = func(cmd *cobra.Command, args []string) error {
+		if a.check && len(args) == 0 {
+			return a.checkSettings(cmd)
+		}
+		return withoutCommand(cmd, args)
+	}
+	root.Flags().BoolVar(&a.check, "check", false, "validate the settings and exit")
 	root.PersistentFlags().StringVar(&a.settingsPath, "settings", "chicoryctl.toml", "path of the TOML settings")
 	root.PersistentFlags().StringVar(&a.output, "output", string(formatText), "text or json")
 	_ = root.RegisterFlagCompletionFunc("output", cobra.FixedCompletions(
@@ -67,6 +76,15 @@
 	}
 }
 
+// checkSettings validates the settings, as --check of the other programs does.
+func (a *app) checkSettings(cmd *cobra.Command) error {
+	if err := a.load(); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintf(cmd.OutOrStdout(), "%s: settings are valid\n", a.settingsPath)
+	return err
+}
+
 // load reads the settings.
 func (a *app) load() error {
 	s, err := settings.Load(a.settingsPath, settings.ParseCtl)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -47,6 +47,16 @@
 	is.True(strings.Contains(out, `"line": 5`))
 }
 
+// Guards against settings whose faults show only when a command needs a node.
+func TestCheckValidatesTheSettings(t *testing.T) {
+	is := is.New(t)
+	code, out := execute(t, "127.0.0.1:1", "--check")
+	is.Equal(code, ExitOK)
+	is.True(strings.Contains(out, "settings are valid"))
+	code, _ = execute(t, "localhost:1", "--check")
+	is.Equal(code, ExitUsage)
+}
+
 // Guards against faulty usage that is reported with another code, and against a
 // command that claims an uncertain result when no node was reached, or a
 // certain one when a node was.
