--- a/internal/claims/doc.go
+++ b/internal/claims/doc.go
@@ -17,5 +17,6 @@
 // lost, and identities that are not younger than the view are answered as
 // possibly run.
 //
-// No grant needs the platform; only a view change does.
+// No grant needs the platform; only a view change does. A member that stops
+// gracefully serves until a view without it is known.
 package claims
