--- a/internal/claims/claims_test.go
+++ b/internal/claims/claims_test.go
@@ -18,7 +18,7 @@
 const testDomain = mesh.FailureDomain("ifrane")
 
 // identityAt returns an identity created at t. The number tells identities
-// apart; identities with the same number share a shard.
+// apart.
 func identityAt(t mesh.Time, number byte) Identity {
 	var u uuid.UUID
 	binary.BigEndian.PutUint64(u[:8], uint64(int64(t)/int64(time.Millisecond))<<16)
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -265,3 +265,20 @@
 		}
 	}
 }
+
+// Guards against a rejection as not-run of a request that an earlier send may
+// have run: before a claim verdict only a call without an identity is surely
+// not run.
+func TestEarlyRejectionOfAnIdentityIsMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	g := ready(t)
+	reject := func(id mesh.CallID, identity string) CallEffect {
+		g.step("ifrane-1", Event{Kind: KindCallArrived, Call: CallArrived{
+			Call: id, Method: []byte("POST"), Path: []byte("/nowhere"), RequestID: []byte(identity),
+		}})
+		return g.results[id]
+	}
+	is.Equal(reject(1, "").Outcome, mesh.NotRun)
+	is.Equal(reject(2, g.identity("ifrane")).Outcome, mesh.MayHaveRun)
+	is.Equal(g.results[2].Reason, mesh.ReasonNoRoute)
+}
