--- a/internal/nodeproc/nodeproc.go
+++ b/internal/nodeproc/nodeproc.go
@@ -22,7 +22,7 @@
 
 // Run runs a node until ctx ends, then stops it gracefully.
 func Run(ctx context.Context, s *settings.Node, log *slog.Logger) error {
-	log = log.With("host", string(s.Host), "failure_domain", string(s.FailureDomain))
+	log = nodeLogger(log, s)
 	store := client.New(client.Settings{
 		TableAddr: s.Platform.Table, ObjectAddr: s.Platform.Objects, Timeout: s.Platform.Timeout, MaxConns: s.Platform.Connections,
 	})
@@ -45,6 +45,11 @@
 	return node.Run(ctx)
 }
 
+// nodeLogger adds the host and its failure domain to each line.
+func nodeLogger(log *slog.Logger, s *settings.Node) *slog.Logger {
+	return log.With("host", string(s.Host), "failure_domain", string(s.FailureDomain))
+}
+
 func options(s *settings.Node, log *slog.Logger) runtime.Options {
 	opts := runtime.DefaultOptions()
 	opts.Host = s.Host
--- /dev/null
+++ b/internal/nodeproc/nodeproc_test.go
@@ -0,0 +1,23 @@
+package nodeproc
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/internal/settings"
+)
+
+// Guards against log lines that cannot be traced to a node.
+func TestLoggerNamesNode(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	log := nodeLogger(slog.New(slog.NewTextHandler(&out, nil)), &settings.Node{Host: "ifrane-1", FailureDomain: "ifrane"})
+	log.Info("draining")
+	log.Debug("hidden")
+	is.Equal(strings.Count(out.String(), "\n"), 1)
+	is.True(strings.Contains(out.String(), "msg=draining host=ifrane-1 failure_domain=ifrane"))
+}
--- a/internal/telemetry/metrics.go
+++ b/internal/telemetry/metrics.go
@@ -1,5 +1,5 @@
-// Package telemetry provides the node's counters, their OpenTelemetry
-// instruments with a Prometheus scrape endpoint, and the set-up of slog.
+// Package telemetry provides the node's counters and their OpenTelemetry
+// instruments, with a Prometheus scrape endpoint.
 //
 // Counters are atomics that the instruments read at a scrape, so counting on
 // the call path neither locks nor allocates.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"log/slog"
 	"os"
 	"regexp"
 	"strings"
@@ -60,14 +59,3 @@
 		}
 	}
 }
-
-// Guards against log lines that cannot be traced to a node.
-func TestLoggerNamesNode(t *testing.T) {
-	is := is.New(t)
-	var out bytes.Buffer
-	log := NewLogger(&out, slog.LevelInfo, "ifrane-1", "ifrane")
-	log.Info("draining")
-	log.Debug("hidden")
-	is.Equal(strings.Count(out.String(), "\n"), 1)
-	is.True(strings.Contains(out.String(), `"node":"ifrane-1","domain":"ifrane"`))
-}
