--- a/internal/tooling/deploy/deployment.go
+++ b/internal/tooling/deploy/deployment.go
@@ -180,6 +180,23 @@
 	return nil
 }
 
+// Counters reads the operations that the platform stand-in has counted.
+func (d *Deployment) Counters(ctx context.Context) (*wire.Counters, error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+d.Layout.PlatformAddr+wire.CountersPath, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	counters := new(wire.Counters)
+	return counters, json.NewDecoder(resp.Body).Decode(counters)
+}
+
 // Status asks a host's node for its status.
 func (d *Deployment) Status(ctx context.Context, h *Host) (*core.Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
@@ -262,6 +279,20 @@
 	return CtlResult{Code: ctl.ExitCode(cmd.ProcessState.ExitCode()), Stdout: stdout.Bytes(), Stderr: stderr.String()}, nil
 }
 
+// Load runs chicory-load with the given lines of settings until it ends. It
+// fails if the program does, with its output.
+func (d *Deployment) Load(ctx context.Context, name, settings string) error {
+	path, err := write(d.Dir, name+".toml", settings)
+	if err != nil {
+		return err
+	}
+	cmd := exec.CommandContext(ctx, filepath.Join(d.binaries, "chicory-load"), "--settings", path)
+	if output, err := cmd.CombinedOutput(); err != nil {
+		return fmt.Errorf("load %s: %w: %s", name, err, output)
+	}
+	return nil
+}
+
 // WriteFile writes a file into the deployment's directory.
 func (d *Deployment) WriteFile(name, content string) (string, error) {
 	return write(d.Dir, name, content)
--- a/internal/tooling/deploy/process.go
+++ b/internal/tooling/deploy/process.go
@@ -43,6 +43,9 @@
 // Exited is closed when the process has ended.
 func (p *Process) Exited() <-chan struct{} { return p.done }
 
+// PID returns the process number.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends a signal to the process if it still runs.
 func (p *Process) Signal(s os.Signal) error {
 	err := p.cmd.Process.Signal(s)
--- /dev/null
+++ b/internal/tooling/fleetbench/sample.go
@@ -0,0 +1,171 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/tooling/deploy"
+)
+
+// ticksPerSecond is the unit of processor time in /proc, which Linux fixes at
+// 100 for programs on all architectures that Go supports.
+const ticksPerSecond = 100
+
+// stateEstablished is the code of an established connection in /proc/net/tcp.
+const stateEstablished = "01"
+
+// sample is the state of one node's process at one time.
+type sample struct {
+	at            time.Time
+	residentBytes float64
+	// processor is the processor time since the start of the process.
+	processor   time.Duration
+	connections int
+	// sent and received are the control bytes between nodes since the start of
+	// the process.
+	sent, received float64
+}
+
+// sampleAll samples the nodes of all hosts, in the order of the layout.
+func sampleAll(ctx context.Context, d *deploy.Deployment) ([]sample, error) {
+	established, err := establishedSockets("/proc/net/tcp")
+	if err != nil {
+		return nil, err
+	}
+	samples := make([]sample, len(d.Layout.Hosts))
+	for i, h := range d.Layout.Hosts {
+		s := &samples[i]
+		s.at = time.Now()
+		s.sent, s.received, err = controlBytes(ctx, h)
+		if err != nil {
+			return nil, fmt.Errorf("metrics of %s: %w", h.Name, err)
+		}
+		dir := filepath.Join("/proc", strconv.Itoa(d.Node(h).PID()))
+		if err := s.readProcess(dir, established); err != nil {
+			return nil, fmt.Errorf("process of %s: %w", h.Name, err)
+		}
+	}
+	return samples, nil
+}
+
+func (s *sample) readProcess(dir string, established map[string]bool) error {
+	stat, err := os.ReadFile(filepath.Join(dir, "stat"))
+	if err != nil {
+		return err
+	}
+	if s.processor, err = parseProcessorTime(string(stat)); err != nil {
+		return err
+	}
+	statm, err := os.ReadFile(filepath.Join(dir, "statm"))
+	if err != nil {
+		return err
+	}
+	if s.residentBytes, err = parseResident(string(statm)); err != nil {
+		return err
+	}
+	files, err := os.ReadDir(filepath.Join(dir, "fd"))
+	if err != nil {
+		return err
+	}
+	for _, file := range files {
+		// A file may have been closed since the directory was read.
+		if target, err := os.Readlink(filepath.Join(dir, "fd", file.Name())); err == nil && established[target] {
+			s.connections++
+		}
+	}
+	return nil
+}
+
+// parseProcessorTime reads the user and system time from /proc/PID/stat. The
+// name of the program, in parentheses, may hold spaces.
+func parseProcessorTime(stat string) (time.Duration, error) {
+	const user, system = 11, 12 // counted from the field after the name
+	fields := strings.Fields(stat[strings.LastIndexByte(stat, ')')+1:])
+	if len(fields) <= system {
+		return 0, fmt.Errorf("stat has %d fields after the name", len(fields))
+	}
+	var ticks uint64
+	for _, field := range []string{fields[user], fields[system]} {
+		n, err := strconv.ParseUint(field, 10, 64)
+		if err != nil {
+			return 0, fmt.Errorf("stat: %w", err)
+		}
+		ticks += n
+	}
+	return time.Duration(ticks) * time.Second / ticksPerSecond, nil
+}
+
+// parseResident reads the resident memory in bytes from /proc/PID/statm.
+func parseResident(statm string) (float64, error) {
+	fields := strings.Fields(statm)
+	if len(fields) < 2 {
+		return 0, errors.New("statm has no resident size")
+	}
+	pages, err := strconv.ParseUint(fields[1], 10, 64)
+	return float64(pages) * float64(os.Getpagesize()), err
+}
+
+// establishedSockets returns the established TCP connections as they are named
+// by the links in /proc/PID/fd.
+func establishedSockets(table string) (map[string]bool, error) {
+	const state, inode = 3, 9
+	file, err := os.Open(table)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	sockets := map[string]bool{}
+	lines := bufio.NewScanner(file)
+	for lines.Scan() {
+		if fields := strings.Fields(lines.Text()); len(fields) > inode && fields[state] == stateEstablished {
+			sockets["socket:["+fields[inode]+"]"] = true
+		}
+	}
+	return sockets, lines.Err()
+}
+
+// Parts of the lines of the metrics endpoint that count the bytes of control
+// messages between nodes.
+const (
+	controlMetric = "chicory_control_bytes_total{"
+	deliverLabel  = `cause="deliver"`
+	sentLabel     = `direction="sent"`
+)
+
+func controlBytes(ctx context.Context, h *deploy.Host) (sent, received float64, err error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.MetricsAddr+"/metrics", nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	req.Close = true // so that the tool holds no connection to a node
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		line := lines.Text()
+		if !strings.HasPrefix(line, controlMetric) || !strings.Contains(line, deliverLabel) {
+			continue
+		}
+		value, err := strconv.ParseFloat(line[strings.LastIndexByte(line, ' ')+1:], 64)
+		if err != nil {
+			return 0, 0, err
+		}
+		if strings.Contains(line, sentLabel) {
+			sent += value
+		} else {
+			received += value
+		}
+	}
+	return sent, received, lines.Err()
+}
