--- a/internal/tooling/fleetbench/main.go
+++ b/internal/tooling/fleetbench/main.go
@@ -9,8 +9,10 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"strconv"
@@ -31,6 +33,8 @@
 	changes  int
 	runs     int
 	backends bool
+	// results names a file of earlier output. It is fitted without a run.
+	results string
 }
 
 func main() {
@@ -42,6 +46,7 @@
 	flag.IntVar(&o.changes, "changes", 5, "number of changes of configuration")
 	flag.IntVar(&o.runs, "runs", 1, "number of runs of each size")
 	flag.BoolVar(&o.backends, "backends", false, "run a small backend server on each host")
+	flag.StringVar(&o.results, "fit", "", "file of earlier output to fit, without a run")
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -77,6 +82,13 @@
 }
 
 func run(ctx context.Context, o *options) error {
+	if o.results != "" {
+		results, err := readResults(o.results)
+		if err != nil {
+			return err
+		}
+		return printFits(results)
+	}
 	var results []*result
 	for number := 1; number <= o.runs; number++ {
 		for _, size := range o.sizes {
@@ -91,6 +103,10 @@
 			}
 		}
 	}
+	return printFits(results)
+}
+
+func printFits(results []*result) error {
 	for _, line := range fitAll(results) {
 		if err := printJSON(line); err != nil {
 			return err
@@ -99,6 +115,32 @@
 	return nil
 }
 
+// readResults reads the results from output of the command and ignores its
+// fits.
+func readResults(name string) ([]*result, error) {
+	file, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = file.Close() }()
+	var results []*result
+	for decoder := json.NewDecoder(file); ; {
+		r := new(result)
+		if err := decoder.Decode(r); errors.Is(err, io.EOF) {
+			break
+		} else if err != nil {
+			return nil, fmt.Errorf("read %s: %w", name, err)
+		}
+		if r.Nodes > 0 {
+			results = append(results, r)
+		}
+	}
+	if len(results) == 0 {
+		return nil, fmt.Errorf("read %s: it holds no results", name)
+	}
+	return results, nil
+}
+
 func printJSON(v any) error {
 	line, err := json.Marshal(v)
 	if err == nil {
