--- a/internal/tooling/fleetbench/main.go
+++ b/internal/tooling/fleetbench/main.go
@@ -29,6 +29,8 @@
 	binaries string
 	sizes    []int
 	domains  int
+	// settle is the time between the first configuration and the window.
+	settle   time.Duration
 	window   time.Duration
 	changes  int
 	runs     int
@@ -42,6 +44,7 @@
 	flag.StringVar(&o.binaries, "bin", "bin", "directory of the built programs")
 	sizes := flag.String("sizes", "6,12,24,48,96", "numbers of nodes")
 	flag.IntVar(&o.domains, "domains", 3, "number of failure domains")
+	flag.DurationVar(&o.settle, "settle", 10*time.Second, "time between the first configuration and the steady window")
 	flag.DurationVar(&o.window, "window", 10*time.Second, "time over which the steady state is measured")
 	flag.IntVar(&o.changes, "changes", 5, "number of changes of configuration")
 	flag.IntVar(&o.runs, "runs", 1, "number of runs of each size")
