--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	$(BIN)/latencybench -bin $(BIN) -runs 3 -window 3s
 
 # fleet runs 6 to 96 real nodes on loopback and fits the cost of a node over
-# their number. It takes about 3 minutes a run.
+# their number. It takes about 3 to 4 minutes a run.
 FLEET_RUNS ?= 1
 fleet: build
 	$(GO) build -o $(BIN)/fleetbench ./internal/tooling/fleetbench
