--- a/Makefile
+++ b/Makefile
@@ -64,3 +64,13 @@
 fleet: build
 	$(GO) build -o $(BIN)/fleetbench ./internal/tooling/fleetbench
 	$(BIN)/fleetbench -bin $(BIN) -runs $(FLEET_RUNS)
+
+FUZZTIME ?= 10s
+
+# fuzz runs every fuzz test for FUZZTIME; the committed corpora run in make test.
+fuzz:
+	@set -e; for file in $$(git grep -l '^func Fuzz' -- '*_test.go'); do \
+		for name in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\).*/\1/p' $$file); do \
+			$(GO) test ./$$(dirname $$file) -run '^$$' -fuzz "^$$name$$" -fuzztime $(FUZZTIME); \
+		done; \
+	done
