--- /dev/null
+++ b/cmd/chicory-sidecar/main.go
@@ -0,0 +1,65 @@
+// Command chicory-sidecar is the one process of the system beside each instance
+// on the users' platform: entry node for clients and gate to the instance.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"github.com/chicoryscale/chicoryscale/internal/sidecar"
+	"github.com/chicoryscale/chicoryscale/platform"
+)
+
+func main() {
+	var path string
+	var check bool
+	cmd := &cobra.Command{
+		Use: "chicory-sidecar", Short: "Routes requests beside an instance on the users' platform", Args: cobra.NoArgs,
+		SilenceUsage: true,
+		RunE: func(*cobra.Command, []string) error {
+			if check {
+				_, err := load(path)
+				return err
+			}
+			return run(path)
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file")
+	cmd.Flags().BoolVar(&check, "check", false, "validate the settings and exit")
+	if err := cmd.Execute(); err != nil {
+		os.Exit(1)
+	}
+}
+
+func load(path string) (sidecar.Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return sidecar.Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	return platform.ParseSettings(text)
+}
+
+func run(path string) error {
+	settings, err := load(path)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	log := sidecar.NewLog(os.Stdout)
+	defer log.Close(context.Background())
+	log.With("host", string(settings.Host), "failure_domain", string(settings.Domain))
+	node, err := sidecar.New(settings, platform.NewAdapter(settings.StoreAddr), log)
+	if err != nil {
+		return err
+	}
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	go node.WatchSettings(ctx, reload, func() (sidecar.Settings, error) { return load(path) })
+	return node.Run(ctx)
+}
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,153 @@
+// Package catalog holds one accepted version of the operator's routes, services
+// and client limits as an immutable snapshot, checked before it is used.
+package catalog
+
+import (
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+var (
+	namespace = errorx.NewNamespace("catalog")
+	// ErrInvalid marks a configuration that breaks a rule of its own.
+	ErrInvalid = namespace.NewType("invalid")
+)
+
+// Destination is one part of a route's traffic split.
+type Destination struct {
+	Service mesh.Service
+	// Weight is the part's share relative to the other parts of the route.
+	Weight int
+}
+
+// Route tells where the requests of a host and path prefix go and what may be
+// done with them.
+type Route struct {
+	Name   mesh.Route
+	Host   string
+	Prefix string
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// Timeout bounds the time a request is kept waiting. Zero stands for none.
+	Timeout time.Duration
+	// TargetLatency is the time within which an answer has its full worth.
+	TargetLatency time.Duration
+	// Attempts bounds the instances that one request may run on.
+	Attempts int
+	// Rank orders the routes of a service by urgency; zero is the most urgent.
+	Rank int
+	// Destinations has at least one entry.
+	Destinations []Destination
+}
+
+// Service is one set of interchangeable instances.
+type Service struct {
+	Name mesh.Service
+	// MaxConnections bounds the connections of one instance from all callers.
+	MaxConnections int
+}
+
+// ClientLimits bound what a client may send. Zero stands for no limit.
+type ClientLimits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Snapshot is one configuration version. It is never changed.
+type Snapshot struct {
+	Version  mesh.ConfigVersion
+	Routes   []Route
+	Services []Service
+	Limits   ClientLimits
+
+	byHost map[string]map[string]*Route // host, then prefix
+}
+
+// Build indexes a snapshot and checks that it is closed: each route refers to
+// services that the snapshot holds. The error is of type ErrInvalid.
+func Build(version mesh.ConfigVersion, routes []Route, services []Service, limits ClientLimits) (*Snapshot, error) {
+	s := &Snapshot{Version: version, Routes: routes, Services: services, Limits: limits,
+		byHost: make(map[string]map[string]*Route)}
+	known := make(map[mesh.Service]bool, len(services))
+	for _, service := range services {
+		known[service.Name] = true
+	}
+	for i := range routes {
+		if err := check(&routes[i], known); err != nil {
+			return nil, err
+		}
+		s.index(&routes[i])
+	}
+	return s, nil
+}
+
+func check(r *Route, known map[mesh.Service]bool) error {
+	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return ErrInvalid.New("route %s: host %q or prefix %q is malformed", r.Name, r.Host, r.Prefix)
+	}
+	if len(r.Destinations) == 0 {
+		return ErrInvalid.New("route %s has no destination", r.Name)
+	}
+	for _, d := range r.Destinations {
+		if !known[d.Service] {
+			return ErrInvalid.New("route %s refers to service %q, which the configuration lacks", r.Name, d.Service)
+		}
+		if d.Weight < 0 {
+			return ErrInvalid.New("route %s has a negative weight", r.Name)
+		}
+	}
+	return nil
+}
+
+func (s *Snapshot) index(r *Route) {
+	host := strings.ToLower(r.Host)
+	prefixes := s.byHost[host]
+	if prefixes == nil {
+		prefixes = make(map[string]*Route)
+		s.byHost[host] = prefixes
+	}
+	prefixes[r.Prefix] = r
+}
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (s *Snapshot) Match(host, path string) *Route {
+	prefixes := s.byHost[normalHost(host)]
+	if prefixes == nil {
+		return nil
+	}
+	for end := len(path); end > 0; {
+		slash := strings.LastIndexByte(path[:end], '/')
+		if slash < 0 {
+			return nil
+		}
+		if r := prefixes[path[:slash+1]]; r != nil {
+			return r
+		}
+		end = slash
+	}
+	return nil
+}
+
+// normalHost drops the port and the case of a Host header.
+func normalHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
+// Has reports whether the snapshot holds the service.
+func (s *Snapshot) Has(name mesh.Service) bool {
+	for i := range s.Services {
+		if s.Services[i].Name == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/proxy/calls.go
@@ -0,0 +1,327 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/catalog"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/retry"
+	"github.com/chicoryscale/chicoryscale/internal/routing"
+)
+
+const (
+	// maxPlacements bounds the gates that one call asks for a slot. A gate that
+	// is full answers within a millisecond, so asking another costs little next
+	// to waiting for a slot.
+	maxPlacements = 5
+	// probesBeforeQueue is the number of gates that are asked for a free slot
+	// before the call accepts to wait.
+	probesBeforeQueue = 2
+	// minLeft is the time that a call needs to be worth sending.
+	minLeft = 8 * time.Millisecond
+	// configRetryAfter is the advice to a client of a node without configuration.
+	configRetryAfter = 300 * time.Millisecond
+	// placeRetryAfter is the advice to a client whose request found no instance.
+	placeRetryAfter = 200 * time.Millisecond
+	// overloadRetryAfter is the advice to a client whose request found no room.
+	overloadRetryAfter = 250 * time.Millisecond
+)
+
+// call is a request in progress at its entry node.
+type call struct {
+	id          mesh.CallID
+	route       *catalog.Route
+	service     mesh.Service
+	arrived     mesh.Time
+	deadline    mesh.Time
+	target      mesh.Time // answers are worth less afterwards
+	fingerprint mesh.Fingerprint
+	crashes     uint8
+
+	attempt    uint8 // number of the attempt in flight or last sent
+	sent       bool
+	sentAt     mesh.Time
+	to         routing.Target
+	placements int
+	// runs counts the attempts that an instance may have run, reached those
+	// that were handed to an instance.
+	runs    int
+	reached int
+	// full lists the instances whose gates had no slot, failed those that are
+	// not asked again.
+	full   []mesh.InstanceID
+	failed []mesh.InstanceID
+	reason mesh.Reason // of the last attempt without an answer
+}
+
+func (e CallArrived) apply(n *Node, s *step) {
+	n.counters.Calls++
+	if n.config == nil {
+		n.rejectNew(s, e.Call, mesh.ReasonNoConfiguration, configRetryAfter)
+		return
+	}
+	route := n.config.Match(e.Host, e.Path)
+	if route == nil {
+		n.rejectNew(s, e.Call, mesh.ReasonNoRoute, 0)
+		return
+	}
+	check := n.poison.Check(s.now, e.Fingerprint, 0)
+	if check.Verdict == poison.Convicted {
+		s.record("call.blocked", "call", uint64(e.Call), "crashes", check.Crashes)
+		n.counters.MayHaveRun++
+		s.out.Calls = append(s.out.Calls, CallEffect{
+			Call: e.Call, Action: CallReject, Outcome: mesh.MayHaveRun, Reason: mesh.ReasonPoison,
+		})
+		return
+	}
+	c := &call{
+		id: e.Call, route: route, service: n.destination(s, route), arrived: s.now,
+		fingerprint: e.Fingerprint, crashes: check.Crashes,
+	}
+	c.deadline = s.now.Add(callTime(e.Budget, route.Timeout))
+	c.target = s.now.Add(route.TargetLatency)
+	n.calls[e.Call] = c
+	n.window(c.service).Request(s.now, n.settings.Repeats)
+	n.place(s, c)
+}
+
+// longestCall bounds a call for which neither client nor route states a limit.
+const longestCall = 30 * time.Second
+
+// callTime returns the time that a call has: the client's or the route's,
+// whichever ends first.
+func callTime(client, route time.Duration) time.Duration {
+	d := longestCall
+	if client > 0 {
+		d = min(d, client)
+	}
+	if route > 0 {
+		d = min(d, route)
+	}
+	return d
+}
+
+func (n *Node) rejectNew(s *step, id mesh.CallID, reason mesh.Reason, retryAfter time.Duration) {
+	n.counters.NotRun++
+	s.out.Calls = append(s.out.Calls, CallEffect{
+		Call: id, Action: CallReject, Outcome: mesh.NotRun, Reason: reason, RetryAfter: retryAfter,
+	})
+}
+
+func (n *Node) window(service mesh.Service) *retry.Window {
+	w := n.windows[service]
+	if w == nil {
+		w = &retry.Window{}
+		n.windows[service] = w
+	}
+	return w
+}
+
+// place sends the call to the gate of an instance that seems to have room. The
+// first gates are asked for a free slot; after that the call may wait at the
+// one with the least load.
+func (n *Node) place(s *step, c *call) {
+	if c.deadline.Sub(s.now) < minLeft {
+		n.finish(s, c, mesh.ReasonDeadline)
+		return
+	}
+	choice, mayQueue := n.choose(s, c)
+	if choice.Miss != routing.MissNone || c.placements >= maxPlacements {
+		if choice.Miss == routing.MissNone {
+			n.router.Done(s.now, choice.Target, routing.Result{Outcome: mesh.NotRun, Reason: mesh.ReasonOverload})
+		}
+		if c.reason == mesh.ReasonNone {
+			c.reason = mesh.ReasonNoTarget
+		}
+		n.finish(s, c, c.reason)
+		return
+	}
+	m := n.members[choice.Target.Host]
+	c.to, c.sent, c.sentAt = choice.Target, true, s.now
+	c.attempt++
+	c.placements++
+	n.counters.Forwards++
+	effect := CallEffect{
+		Call: c.id, Action: CallForward, Attempt: c.attempt, Host: m.Host, Addr: m.ForwardAddr,
+		Instance: choice.Target.Instance, Route: c.route.Name, Rank: c.route.Rank, Idempotent: c.route.Idempotent,
+		Deadline: c.deadline, LeftToTarget: c.target.Sub(s.now), MayQueue: mayQueue, Crashes: c.crashes,
+	}
+	if m.Host == n.settings.Host {
+		effect.Addr = ""
+	}
+	s.out.Calls = append(s.out.Calls, effect)
+}
+
+// choose draws the target of the next attempt. mayQueue is set once enough gates
+// have said that they are full, or no other is left.
+func (n *Node) choose(s *step, c *call) (choice routing.Choice, mayQueue bool) {
+	if len(c.full) < probesBeforeQueue {
+		excluded := append(append([]mesh.InstanceID(nil), c.failed...), c.full...)
+		choice = n.router.Choose(s.now, s.random(), c.service, routing.Excluded{Instances: excluded})
+		if choice.Miss == routing.MissNone {
+			return choice, false
+		}
+		if len(c.full) == 0 {
+			return choice, false
+		}
+	}
+	return n.router.Choose(s.now, s.random(), c.service, routing.Excluded{Instances: c.failed}), true
+}
+
+func (e AttemptDone) apply(n *Node, s *step) {
+	c := n.calls[e.Call]
+	if c == nil || !c.sent || e.Attempt != c.attempt {
+		return
+	}
+	c.sent = false
+	n.router.Done(s.now, c.to, routing.Result{
+		Outcome: e.Outcome, Reason: e.Reason, Failed: e.Failed, Latency: s.now.Sub(c.sentAt), Load: e.Load, HasLoad: e.HasLoad,
+	})
+	if e.HostFailed {
+		n.hostFailed(s, c.to.Host)
+	}
+	if e.Reached {
+		c.reached++
+	}
+	if e.Outcome != mesh.NotRun {
+		c.runs++
+	}
+	c.crashes = max(c.crashes, e.Crashes)
+	if e.Outcome == mesh.Answered && !n.worthRepeat(s, c, e) {
+		n.respond(s, c)
+		return
+	}
+	c.reason = e.Reason
+	n.again(s, c, e)
+}
+
+// worthRepeat reports whether a failed answer is replaced by another attempt.
+func (n *Node) worthRepeat(s *step, c *call, e AttemptDone) bool {
+	if !e.Failed || !c.route.Idempotent || c.runs >= c.route.Attempts || c.deadline.Sub(s.now) < 2*minLeft {
+		return false
+	}
+	return n.repeat(s, c)
+}
+
+// repeat draws on the shared budget for one more attempt at an instance.
+func (n *Node) repeat(s *step, c *call) bool {
+	if !n.window(c.service).Repeat(s.now, n.settings.Repeats, n.liveHosts()) {
+		n.counters.RepeatsRefused++
+		return false
+	}
+	n.counters.Repeats++
+	return true
+}
+
+// again decides what follows an attempt without an answer to deliver.
+func (n *Node) again(s *step, c *call, e AttemptDone) {
+	if e.Outcome == mesh.Answered { // its repeat is paid for
+		c.failed = append(c.failed, c.to.Instance)
+		n.place(s, c)
+		return
+	}
+	if e.Outcome == mesh.NotRun && e.Reason == mesh.ReasonOverload && !e.Reached {
+		c.full = append(c.full, c.to.Instance)
+	} else {
+		c.failed = append(c.failed, c.to.Instance)
+	}
+	if c.crashes >= poison.ConvictionCrashes {
+		c.runs = max(c.runs, 1) // the request has run before, under other identities
+		n.finish(s, c, mesh.ReasonPoison)
+		return
+	}
+	if c.runs > 0 && (!c.route.Idempotent || c.runs >= c.route.Attempts) {
+		n.finish(s, c, e.Reason)
+		return
+	}
+	// An attempt that no instance has seen costs nothing; any other draws on the
+	// budget.
+	if e.Reached && !n.repeat(s, c) {
+		n.finish(s, c, mesh.ReasonRetryBudget)
+		return
+	}
+	n.place(s, c)
+}
+
+func (n *Node) respond(s *step, c *call) {
+	n.counters.Answered++
+	s.out.Calls = append(s.out.Calls, CallEffect{Call: c.id, Action: CallRespond, Attempt: c.attempt, Outcome: mesh.Answered})
+	delete(n.calls, c.id)
+}
+
+// finish ends a call without an answer.
+func (n *Node) finish(s *step, c *call, reason mesh.Reason) {
+	effect := CallEffect{Call: c.id, Action: CallReject, Outcome: mesh.NotRun, Reason: reason}
+	if c.runs > 0 {
+		effect.Outcome = mesh.MayHaveRun
+		n.counters.MayHaveRun++
+	} else {
+		n.counters.NotRun++
+		effect.RetryAfter = n.retryAfter(s, c, reason)
+	}
+	s.out.Calls = append(s.out.Calls, effect)
+	s.record("call.rejected", "call", uint64(c.id), "route", string(c.route.Name), "service", string(c.service),
+		"outcome", effect.Outcome.String(), "reason", reason.String(), "placements", c.placements, "runs", c.runs,
+		"last_host", string(c.to.Host), "last_instance", string(c.to.Instance),
+		"waited_ms", s.now.Sub(c.arrived).Milliseconds(), "left_ms", c.deadline.Sub(s.now).Milliseconds(),
+		"config", uint64(n.config.Version), "retry_after_ms", effect.RetryAfter.Milliseconds())
+	delete(n.calls, c.id)
+}
+
+// retryAfter advises a client when to come back. The advice is spread, so that
+// clients that were refused together do not return together.
+func (n *Node) retryAfter(s *step, c *call, reason mesh.Reason) time.Duration {
+	advice := overloadRetryAfter
+	if reason == mesh.ReasonNoTarget || reason == mesh.ReasonConnectionLost || reason == mesh.ReasonDraining {
+		advice = placeRetryAfter
+	}
+	return min(s.jitter(advice), max(c.deadline.Sub(s.now)/3, 0))
+}
+
+// cancelled calls count neither for nor against their target.
+func (e CallCancelled) apply(n *Node, s *step) {
+	c := n.calls[e.Call]
+	if c == nil {
+		return
+	}
+	n.counters.Cancelled++
+	if c.sent {
+		n.router.Done(s.now, c.to, routing.Result{Outcome: mesh.NotRun, Reason: mesh.ReasonDeadline})
+	}
+	s.record("call.cancelled", "call", uint64(c.id), "route", string(c.route.Name), "placements", c.placements,
+		"waited_ms", s.now.Sub(c.arrived).Milliseconds())
+	delete(n.calls, c.id)
+}
+
+// split spreads the requests of a route over its destinations in proportion to
+// their weights, evenly over time.
+type split struct {
+	credit map[mesh.Service]int
+}
+
+// destination returns the service of the route's next request: the one whose
+// credit is largest after each has gained its weight.
+func (n *Node) destination(s *step, r *catalog.Route) mesh.Service {
+	if len(r.Destinations) == 1 {
+		return r.Destinations[0].Service
+	}
+	sp := n.splits[r.Name]
+	if sp == nil {
+		sp = &split{credit: make(map[mesh.Service]int)}
+		n.splits[r.Name] = sp
+		for _, d := range r.Destinations { // nodes start at different places
+			sp.credit[d.Service] = int(s.random() % uint64(max(d.Weight, 1)))
+		}
+	}
+	total, best := 0, r.Destinations[0].Service
+	for _, d := range r.Destinations {
+		total += d.Weight
+		sp.credit[d.Service] += d.Weight
+		if sp.credit[d.Service] > sp.credit[best] {
+			best = d.Service
+		}
+	}
+	sp.credit[best] -= total
+	return best
+}
--- /dev/null
+++ b/internal/proxy/control.go
@@ -0,0 +1,154 @@
+package proxy
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/rollout"
+	"github.com/chicoryscale/chicoryscale/internal/routing"
+)
+
+func (Tick) apply(n *Node, s *step) {
+	n.gateOut = n.gate.Tick(s.now, n.gateOut)
+	n.checkHosts(s)
+	n.poison.Expire(s.now)
+	n.tickRollouts(s)
+}
+
+// tickRollouts drives the roll-outs of this host and reports to the drivers of
+// others. A node that doesn't know the store's content drives nothing.
+func (n *Node) tickRollouts(s *step) {
+	n.reportEvidence(s)
+	if !n.store.Loaded || !n.store.Alive || n.stopping {
+		return
+	}
+	before := len(s.out.Writes)
+	s.out.Writes = n.rollouts.Tick(s.now, n.rank(), n.slots, s.out.Writes)
+	for _, w := range s.out.Writes[before:] {
+		n.counters.StageWrites++
+		s.record("rollout.write", "service", string(w.Row.Service), "target", string(w.Row.Target), "order", w.Row.Order,
+			"state", w.Row.State.String(), "stage", w.Row.Stage, "beat", w.Row.Beat, "reason", w.Row.Reason, "expect", w.Expect)
+	}
+}
+
+// reportEvidence sends the counts of the local instance to the driver of its
+// service's roll-out.
+func (n *Node) reportEvidence(s *step) {
+	l := &n.local
+	driver, order, ok := n.rollouts.Collecting(l.service)
+	if !ok || !l.countsDirty || l.countsOrder != order || s.now.Sub(l.reportedAt) < evidenceInterval {
+		return
+	}
+	l.reportedAt, l.countsDirty = s.now, false
+	e := rollout.Evidence{
+		Host: n.settings.Host, Incarnation: n.self.Incarnation, Service: l.service, Version: l.version, Instance: l.id, Order: order,
+	}
+	for _, name := range slices.SortedFunc(maps.Keys(l.counts), cmp.Compare[mesh.Route]) {
+		e.Routes = append(e.Routes, *l.counts[name])
+	}
+	if driver == n.settings.Host {
+		n.rollouts.Observe(e)
+		return
+	}
+	if m := n.members[driver]; m != nil {
+		s.out.Evidence = append(s.out.Evidence, EvidenceReport{Addr: m.PeerAddr, Evidence: e})
+	}
+}
+
+func (e EvidenceReceived) apply(n *Node, _ *step) { n.rollouts.Observe(e.Evidence) }
+
+func (e OrderSeen) apply(n *Node, s *step) {
+	if !n.rollouts.Ordered(s.now, e.Order) {
+		return
+	}
+	n.membersChanged = true
+	s.record("rollout.ordered", "service", string(e.Order.Service), "target", string(e.Order.Target),
+		"order", e.Order.Revision, "duration_ms", e.Order.Duration.Milliseconds())
+}
+
+func (e RolloutSeen) apply(n *Node, s *step) {
+	if !n.rollouts.Stored(s.now, e.Row) {
+		return
+	}
+	n.membersChanged = true
+	s.record("rollout.state", "service", string(e.Row.Service), "target", string(e.Row.Target), "order", e.Row.Order,
+		"state", e.Row.State.String(), "stage", e.Row.Stage, "driver", string(e.Row.Driver), "revision", e.Row.Revision)
+}
+
+// slots returns the slots of a service's instances that take requests, by
+// version.
+func (n *Node) slots(service mesh.Service) rollout.Slots {
+	slots := make(rollout.Slots)
+	for _, m := range n.members {
+		if i := m.Instance; i != nil && i.Service == service && !i.Closed && !m.Leaving && m.reachable {
+			slots[i.Version] += int(i.Slots)
+		}
+	}
+	return slots
+}
+
+// updateShares sets the versions that may be used of each service.
+func (n *Node) updateShares() {
+	services := make(map[mesh.Service]map[mesh.BackendVersion]int)
+	for _, m := range n.members {
+		i := m.Instance
+		if i == nil {
+			continue
+		}
+		if services[i.Service] == nil {
+			services[i.Service] = make(map[mesh.BackendVersion]int)
+		}
+		services[i.Service][i.Version] += int(i.Slots)
+	}
+	for service, versions := range services {
+		n.router.SetShares(shares(service, versions, n.rollouts.Plan(service)))
+	}
+}
+
+// shares turns a plan into the shares of the versions present.
+func shares(service mesh.Service, versions map[mesh.BackendVersion]int, plan rollout.Plan) routing.Shares {
+	sorted := slices.SortedFunc(maps.Keys(versions), cmp.Compare[mesh.BackendVersion])
+	out := routing.Shares{Service: service}
+	if !plan.Ordered {
+		// A version beside the usual one waits for its order.
+		if main := largest(sorted, versions); len(sorted) > 1 {
+			out.Versions = []routing.VersionShare{{Version: main, Parts: routing.FullShare}}
+		}
+		return out
+	}
+	var others []mesh.BackendVersion
+	for _, v := range sorted {
+		if v != plan.Target && !slices.Contains(plan.Withdrawn, v) {
+			others = append(others, v)
+		}
+	}
+	if plan.State == rollout.Completed || len(others) == 0 {
+		others = nil
+	}
+	out.Versions = append(out.Versions, routing.VersionShare{Version: plan.Target, Parts: plan.Share})
+	if len(others) > 0 {
+		out.Fallback = largest(others, versions)
+		out.Versions = append(out.Versions, routing.VersionShare{Version: out.Fallback, Parts: routing.FullShare - plan.Share})
+	}
+	return out
+}
+
+func largest(sorted []mesh.BackendVersion, slots map[mesh.BackendVersion]int) (best mesh.BackendVersion) {
+	for _, v := range sorted {
+		if best == "" || slots[v] > slots[best] {
+			best = v
+		}
+	}
+	return best
+}
+
+// PoisonEntries returns the requests that crash instances, for peers.
+func (n *Node) PoisonEntries(now mesh.Time) []poison.Entry { return n.poison.AppendEntries(now, nil) }
+
+// PoisonSeen are requests that crash instances, from a peer.
+type PoisonSeen struct{ Entries []poison.Entry }
+
+func (e PoisonSeen) apply(n *Node, s *step) { n.poison.Merge(s.now, e.Entries) }
--- /dev/null
+++ b/internal/proxy/members.go
@@ -0,0 +1,277 @@
+package proxy
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/routing"
+)
+
+const (
+	// checkInterval is the period of exchanges with a host that gave no sign of
+	// life, until it does.
+	checkInterval = 400 * time.Millisecond
+	// startupTime is the time after the start in which newly learned instances
+	// count as warm, because the node cannot tell how long they have run.
+	startupTime = 4 * time.Second
+	// forgetTime is the time after which an unreachable host is forgotten. It
+	// returns with its next announcement.
+	forgetTime = 60 * time.Second
+)
+
+// Member is what a host tells others about itself. Records of a host are
+// ordered by incarnation, then sequence.
+type Member struct {
+	Host        mesh.HostID        `json:"host"`
+	Domain      mesh.FailureDomain `json:"domain"`
+	ForwardAddr string             `json:"forward"`
+	PeerAddr    string             `json:"peer"`
+	Incarnation mesh.Incarnation   `json:"incarnation"`
+	Sequence    uint64             `json:"sequence"`
+	// Leaving is set while the node stops.
+	Leaving  bool            `json:"leaving,omitempty"`
+	Instance *MemberInstance `json:"instance,omitempty"`
+}
+
+// MemberInstance is the instance of a host.
+type MemberInstance struct {
+	ID      mesh.InstanceID     `json:"id"`
+	Service mesh.Service        `json:"service"`
+	Version mesh.BackendVersion `json:"version"`
+	Slots   uint16              `json:"slots"`
+	// Closed is set while the gate takes no request for the instance.
+	Closed bool `json:"closed,omitempty"`
+	// WarmUpMillis is the time for which the instance stays slow.
+	WarmUpMillis int64 `json:"warm_up_ms,omitempty"`
+}
+
+// newer reports whether m replaces old.
+func (m *Member) newer(old *Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	return m.Sequence > old.Sequence
+}
+
+// member is a host as this node knows it.
+type member struct {
+	Member
+	reachable  bool
+	failedAt   mesh.Time
+	nextCheck  mesh.Time
+	checkSince mesh.Time
+}
+
+// Members returns the known hosts, sorted by name.
+func (n *Node) Members() []Member {
+	list := make([]Member, 0, len(n.members))
+	for _, host := range slices.Sorted(maps.Keys(n.members)) {
+		list = append(list, n.members[host].Member)
+	}
+	return list
+}
+
+// Self returns the record of this host.
+func (n *Node) Self() Member { return n.self }
+
+// announceSelf publishes the present state of this host.
+func (n *Node) announceSelf(s *step) {
+	n.self.Sequence++
+	n.self.Instance = nil
+	if l := &n.local; l.id != "" {
+		n.self.Instance = &MemberInstance{
+			ID: l.id, Service: l.service, Version: l.version, Slots: l.slots, Closed: l.draining || l.left || l.down,
+			WarmUpMillis: max(l.warmAt.Sub(s.now).Milliseconds(), 0),
+		}
+	}
+	n.members[n.settings.Host].Member = n.self
+	n.membersChanged = true
+	s.out.Announce = true
+}
+
+func (e MembersSeen) apply(n *Node, s *step) {
+	for i := range e.Members {
+		n.merge(s, &e.Members[i])
+	}
+}
+
+func (n *Node) merge(s *step, m *Member) {
+	if m.Host == n.settings.Host {
+		n.raise(s, m)
+		return
+	}
+	if m.Host == "" || m.ForwardAddr == "" {
+		return
+	}
+	old := n.members[m.Host]
+	if old != nil && !m.newer(&old.Member) {
+		return
+	}
+	if old == nil {
+		old = &member{reachable: true}
+		n.members[m.Host] = old
+	}
+	if m.Incarnation > old.Incarnation {
+		old.reachable = true
+	}
+	old.Member = *m
+	n.membersChanged = true
+	s.record("member.changed", "host", string(m.Host), "domain", string(m.Domain), "incarnation", int64(m.Incarnation),
+		"sequence", m.Sequence, "leaving", m.Leaving, "instance", instanceName(m), "closed", m.Instance != nil && m.Instance.Closed)
+}
+
+func instanceName(m *Member) string {
+	if m.Instance == nil {
+		return ""
+	}
+	return string(m.Instance.ID)
+}
+
+// raise moves this host's incarnation past a record of an earlier process. The
+// time of day that incarnations start from may have been set back since.
+func (n *Node) raise(s *step, m *Member) {
+	if m.Incarnation < n.self.Incarnation || m.Incarnation == n.self.Incarnation && m.Sequence <= n.self.Sequence {
+		return
+	}
+	n.self.Incarnation = m.Incarnation + 1
+	n.announceSelf(s)
+}
+
+func (e MemberRemoved) apply(n *Node, s *step) {
+	if m := n.members[e.Host]; m != nil && e.Host != n.settings.Host {
+		n.forget(s, m, "row removed")
+	}
+}
+
+func (n *Node) forget(s *step, m *member, cause string) {
+	delete(n.members, m.Host)
+	n.membersChanged = true
+	s.record("member.forgotten", "host", string(m.Host), "cause", cause)
+}
+
+// hostFailed takes a host out of routing until an exchange with it succeeds.
+func (n *Node) hostFailed(s *step, host mesh.HostID) {
+	m := n.members[host]
+	if m == nil || host == n.settings.Host || !m.reachable {
+		return
+	}
+	n.counters.HostFailures++
+	m.reachable, m.failedAt, m.nextCheck = false, s.now, s.now.Add(checkInterval)
+	n.membersChanged = true
+	s.record("host.unreachable", "host", string(host), "incarnation", int64(m.Incarnation))
+	s.out.Checks = append(s.out.Checks, PeerCheck{Host: host, Addr: m.PeerAddr})
+}
+
+func (e PeerChecked) apply(n *Node, s *step) {
+	m := n.members[e.Host]
+	if m == nil || m.reachable == e.Alive {
+		return
+	}
+	if !e.Alive {
+		n.hostFailed(s, e.Host)
+		return
+	}
+	m.reachable = true
+	n.membersChanged = true
+	s.record("host.reachable", "host", string(e.Host), "away_ms", s.now.Sub(m.failedAt).Milliseconds())
+}
+
+// checkHosts asks unreachable hosts for a sign of life.
+func (n *Node) checkHosts(s *step) {
+	for _, host := range slices.Sorted(maps.Keys(n.members)) {
+		m := n.members[host]
+		if m.reachable || s.now < m.nextCheck {
+			continue
+		}
+		if s.now.Sub(m.failedAt) > forgetTime {
+			n.forget(s, m, "unreachable")
+			continue
+		}
+		m.nextCheck = s.now.Add(checkInterval)
+		s.out.Checks = append(s.out.Checks, PeerCheck{Host: host, Addr: m.PeerAddr})
+	}
+}
+
+// liveHosts returns the number of hosts that take part.
+func (n *Node) liveHosts() int {
+	live := 0
+	for _, m := range n.members {
+		if m.reachable && !m.Leaving {
+			live++
+		}
+	}
+	return live
+}
+
+// rank returns the place of this host among the live ones.
+func (n *Node) rank() int {
+	rank := 0
+	for host, m := range n.members {
+		if m.reachable && !m.Leaving && host < n.settings.Host {
+			rank++
+		}
+	}
+	return rank
+}
+
+// updateRouting rebuilds the routing table after changes of members or plans.
+func (n *Node) updateRouting(s *step) {
+	list := make([]routing.Instance, 0, len(n.members))
+	seen := make(map[mesh.InstanceID]mesh.Time, len(n.seen))
+	for _, host := range slices.Sorted(maps.Keys(n.members)) {
+		m := n.members[host]
+		if m.Instance == nil {
+			continue
+		}
+		i := m.Instance
+		first, known := n.seen[i.ID]
+		if !known && (s.now.Sub(n.started) > startupTime || host == n.settings.Host && i.WarmUpMillis > 0) {
+			first = s.now
+		}
+		seen[i.ID] = first
+		list = append(list, routing.Instance{
+			Host: host, Domain: m.Domain, ID: i.ID, Service: i.Service, Version: i.Version, Slots: i.Slots,
+			Draining: i.Closed || m.Leaving, Reachable: m.reachable, FirstAnnounced: first,
+			Ramp: time.Duration(i.WarmUpMillis) * time.Millisecond,
+		})
+	}
+	n.seen = seen
+	n.router.SetInstances(s.now, list)
+	n.updateShares()
+}
+
+// MembersDigest hashes the known members, so that peers compare them cheaply.
+func (n *Node) MembersDigest() uint64 {
+	d := xxhash.New()
+	for _, m := range n.Members() {
+		_, _ = d.WriteString(string(m.Host)) // never fails
+		var b [16]byte
+		binary.LittleEndian.PutUint64(b[:8], uint64(m.Incarnation))
+		binary.LittleEndian.PutUint64(b[8:], m.Sequence)
+		_, _ = d.Write(b[:])
+	}
+	return d.Sum64()
+}
+
+// RandomPeer returns a reachable member other than this host, or one without
+// addresses if there is none.
+func (n *Node) RandomPeer(seed uint64) Member {
+	peers := make([]Member, 0, len(n.members))
+	for _, host := range slices.Sorted(maps.Keys(n.members)) {
+		if m := n.members[host]; m.reachable && host != n.settings.Host {
+			peers = append(peers, m.Member)
+		}
+	}
+	if len(peers) == 0 {
+		return Member{}
+	}
+	return peers[seed%uint64(len(peers))]
+}
+
+// StoreAlive reports whether the store answers this node.
+func (n *Node) StoreAlive() bool { return n.store.Alive }
--- /dev/null
+++ b/internal/proxy/node.go
@@ -0,0 +1,195 @@
+// Package proxy is the reducer of a sidecar on a platform whose store holds the
+// operator's rows and the list of hosts. It combines routing, admission, retries
+// and roll-outs into one state machine: events in, effects as data out. It reads
+// no clock, random source or network; all three come with the events.
+package proxy
+
+import (
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/admission"
+	"github.com/chicoryscale/chicoryscale/internal/catalog"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/retry"
+	"github.com/chicoryscale/chicoryscale/internal/rollout"
+	"github.com/chicoryscale/chicoryscale/internal/routing"
+)
+
+// Settings describe the host and the deployment's bounds.
+type Settings struct {
+	Host   mesh.HostID
+	Domain mesh.FailureDomain
+	// ForwardAddr and PeerAddr are the "ip:port" at which other nodes reach this
+	// one, for requests and for exchanges of state.
+	ForwardAddr string
+	PeerAddr    string
+	// Service is the service whose instance runs on this host.
+	Service     mesh.Service
+	Incarnation mesh.Incarnation
+	// Repeats is the budget that all nodes share for repeated attempts.
+	Repeats retry.WindowBudget
+}
+
+// Node is the reducer of one sidecar.
+type Node struct {
+	settings Settings
+
+	config   *catalog.Snapshot
+	router   *routing.Router
+	gate     *admission.Gate
+	poison   *poison.Table
+	rollouts *rollout.Reducer
+	windows  map[mesh.Service]*retry.Window
+	splits   map[mesh.Route]*split
+
+	calls     map[mesh.CallID]*call
+	gateCalls map[mesh.CallID]*gateCall
+	gateOut   []admission.Effect
+
+	self    Member
+	members map[mesh.HostID]*member
+	seen    map[mesh.InstanceID]mesh.Time // first announcement of each instance
+	local   localInstance
+	// membersChanged asks for a new routing table at the end of the step.
+	membersChanged bool
+
+	started    mesh.Time
+	store      StoreState
+	stopping   bool
+	stoppedAt  mesh.Time
+	nextMinute mesh.Time
+	counters   Counters
+}
+
+// step carries the arguments of one Step through the reducer.
+type step struct {
+	now  mesh.Time
+	seed uint64
+	out  *Ready
+}
+
+// New returns the reducer of a node that knows nothing yet.
+func New(now mesh.Time, s Settings) *Node {
+	n := &Node{
+		settings:  s,
+		router:    routing.New(s.Domain),
+		gate:      admission.New(admission.Limits{QueuePerSlot: queuePerSlot, InitialServiceTime: initialServiceTime}),
+		poison:    poison.New(),
+		rollouts:  rollout.New(s.Host),
+		windows:   make(map[mesh.Service]*retry.Window),
+		splits:    make(map[mesh.Route]*split),
+		calls:     make(map[mesh.CallID]*call),
+		gateCalls: make(map[mesh.CallID]*gateCall),
+		members:   make(map[mesh.HostID]*member),
+		seen:      make(map[mesh.InstanceID]mesh.Time),
+		started:   now,
+	}
+	n.self = Member{
+		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr,
+		Incarnation: s.Incarnation, Sequence: 1,
+	}
+	n.members[s.Host] = &member{Member: n.self, reachable: true}
+	return n
+}
+
+// Step applies one event and appends its effects to out. The seed feeds the
+// random choices of the step.
+func (n *Node) Step(now mesh.Time, seed uint64, ev Event, out *Ready) {
+	s := &step{now: now, seed: seed, out: out}
+	ev.apply(n, s)
+	n.flushGate(s)
+	if n.membersChanged {
+		n.membersChanged = false
+		n.updateRouting(s)
+	}
+}
+
+// record appends a log line.
+func (s *step) record(kind string, attrs ...any) {
+	s.out.Records = append(s.out.Records, Record{Kind: kind, Attrs: attrs})
+}
+
+// random returns another random number of the step.
+func (s *step) random() uint64 {
+	s.seed += 0x9e3779b97f4a7c15
+	z := s.seed
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
+	return z ^ (z >> 31)
+}
+
+// jitter returns a random duration of at least half of d and less than d.
+func (s *step) jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(s.random()%uint64(max(d/2, 1)))
+}
+
+// Ready reports whether the node can serve: it knows the configuration and the
+// other hosts, and it isn't stopping.
+func (n *Node) Ready() bool {
+	return n.config != nil && (n.store.Loaded || len(n.members) > 1) && !n.stopping
+}
+
+// Idle reports whether no request is in progress.
+func (n *Node) Idle() bool { return len(n.calls) == 0 && len(n.gateCalls) == 0 }
+
+// Config returns the configuration in force, nil if none is known.
+func (n *Node) Config() *catalog.Snapshot { return n.config }
+
+// Counters returns the counts since the start of the process.
+func (n *Node) Counters() Counters { return n.counters }
+
+// Counters count decisions since the start of the process.
+type Counters struct {
+	Calls, Answered, NotRun, MayHaveRun, Cancelled  uint64
+	Forwards, Repeats, RepeatsRefused               uint64
+	GateCalls, GateDispatched, GateRejected         uint64
+	HostFailures, ConfigApplied, MembersKnown       uint64
+	HeartbeatsTaken, HeartbeatsIgnored, StageWrites uint64
+}
+
+func (e StoreState) apply(n *Node, s *step) {
+	if e.Alive != n.store.Alive {
+		s.record("store.state", "alive", e.Alive, "loaded", e.Loaded)
+	}
+	n.store = e
+}
+
+func (e ConfigurationSeen) apply(n *Node, s *step) {
+	// A version is applied only if it is newer, so that a late or repeated
+	// message never takes the node back.
+	if n.config != nil && e.Snapshot.Version <= n.config.Version {
+		return
+	}
+	n.config = e.Snapshot
+	n.counters.ConfigApplied++
+	kept := make(map[mesh.Route]*split)
+	for i := range e.Snapshot.Routes {
+		name := e.Snapshot.Routes[i].Name
+		if old := n.splits[name]; old != nil {
+			kept[name] = old
+		}
+	}
+	n.splits = kept
+	s.record("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
+}
+
+func (Stop) apply(n *Node, s *step) {
+	if n.stopping {
+		return
+	}
+	n.stopping, n.stoppedAt = true, s.now
+	n.self.Leaving = true
+	n.announceSelf(s)
+	s.record("node.stopping", "calls", len(n.calls), "gate_calls", len(n.gateCalls))
+}
+
+// SettingsChanged are the settings that take effect without a restart.
+type SettingsChanged struct {
+	Service mesh.Service
+	Repeats retry.WindowBudget
+}
+
+func (e SettingsChanged) apply(n *Node, _ *step) {
+	n.settings.Service, n.settings.Repeats = e.Service, e.Repeats
+}
--- /dev/null
+++ b/internal/retry/window.go
@@ -0,0 +1,64 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+// windowBuckets is the number of spans that a Window counts in. The budget is
+// exact to one span.
+const windowBuckets = 20
+
+// WindowBudget bounds the repeated attempts of a service in a sliding window,
+// over all nodes of the deployment.
+type WindowBudget struct {
+	// Ratio is the share of the service's requests that may be repeated.
+	Ratio float64
+	// Extra is the number of repeats that all nodes together may add.
+	Extra float64
+	// Span is the length of the window.
+	Span time.Duration
+}
+
+// ownPart is the part of the budget that a node uses up. The rest covers calls
+// that a repeated request makes again at other services.
+const ownPart = 0.6
+
+// Window counts the requests and repeats of one service at one node. A node
+// uses its share of the common budget without asking others, so that the sum
+// holds while nodes cannot talk.
+type Window struct {
+	buckets [windowBuckets]struct{ requests, repeats int }
+	current int64 // number of the span that is counted in
+}
+
+// Request counts the first attempt of a request.
+func (w *Window) Request(now mesh.Time, b WindowBudget) { w.bucket(now, b).requests++ }
+
+// Repeat reports whether another attempt is within the budget, given the number
+// of nodes that share it, and counts it if so.
+func (w *Window) Repeat(now mesh.Time, b WindowBudget, nodes int) bool {
+	bucket := w.bucket(now, b)
+	requests, repeats := 0, 0
+	for i := range w.buckets {
+		requests += w.buckets[i].requests
+		repeats += w.buckets[i].repeats
+	}
+	if float64(repeats+1) > ownPart*(b.Ratio*float64(requests)+b.Extra/float64(max(nodes, 1))) {
+		return false
+	}
+	bucket.repeats++
+	return true
+}
+
+// bucket clears the spans that have left the window and returns the present one.
+func (w *Window) bucket(now mesh.Time, b WindowBudget) *struct{ requests, repeats int } {
+	span := max(int64(b.Span)/windowBuckets, 1)
+	at := int64(now) / span
+	for n := max(w.current, at-windowBuckets); n < at; n++ {
+		w.buckets[(n+1)%windowBuckets] = struct{ requests, repeats int }{}
+	}
+	w.current = max(w.current, at)
+	return &w.buckets[w.current%windowBuckets]
+}
--- /dev/null
+++ b/internal/rollout/reducer.go
@@ -0,0 +1,286 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/routing"
+)
+
+// stage is one step of a roll-out.
+type stage struct {
+	// share is the part of the service's requests for the new version.
+	share routing.Parts
+	// until is the part of the roll-out's duration at which the stage ends.
+	until float64
+}
+
+// stages begin with a share below the tolerated exposure of a bad version and
+// last long enough there to see a fault that shows some seconds after the start.
+// The last one lets requests to the old version end before its instances stop.
+var stages = [...]stage{{600, 0.40}, {2500, 0.50}, {6000, 0.60}, {routing.FullShare, 0.70}}
+
+const (
+	// beatInterval is the period at which a driver renews its row.
+	beatInterval = 800 * time.Millisecond
+	// takeoverTime is the silence of a driver after which another host takes over.
+	takeoverTime = 2200 * time.Millisecond
+	// rankDelay separates the hosts that could start or take over a roll-out.
+	rankDelay = 200 * time.Millisecond
+	// rewriteTime is the time after which a write without a visible effect is
+	// repeated.
+	rewriteTime = time.Second
+	// minStageTime is the least time in a stage, so that each is observed.
+	minStageTime = 900 * time.Millisecond
+	// minCanaryAnswers is the number of answers of the new version needed to leave
+	// the first stage, unless time runs out.
+	minCanaryAnswers = 20
+	// hurryPart is the part of the duration after which a roll-out goes on with
+	// less evidence and capacity than it should have.
+	hurryPart = 0.66
+	// capacityPart is the part of the old version's slots that the new version
+	// needs, relative to its share, before a stage beyond the first.
+	capacityPart = 0.7
+)
+
+// Slots are the slots of the instances that take requests, by version.
+type Slots map[mesh.BackendVersion]int
+
+// move is the latest roll-out of one service.
+type move struct {
+	order     Order
+	orderedAt mesh.Time
+	row       Row
+	stageAt   mesh.Time // the row's stage began, as seen here
+	changedAt mesh.Time // the row changed last, as seen here
+	writtenAt mesh.Time // this host wrote the row last
+	evidence  map[mesh.InstanceID]Evidence
+}
+
+// Reducer holds the roll-outs of all services at one host. It is not safe for
+// concurrent use.
+type Reducer struct {
+	host  mesh.HostID
+	moves map[mesh.Service]*move
+}
+
+// New returns a Reducer that knows no roll-out.
+func New(host mesh.HostID) *Reducer {
+	return &Reducer{host: host, moves: make(map[mesh.Service]*move)}
+}
+
+func (r *Reducer) move(s mesh.Service) *move {
+	m := r.moves[s]
+	if m == nil {
+		m = &move{evidence: make(map[mesh.InstanceID]Evidence)}
+		r.moves[s] = m
+	}
+	return m
+}
+
+// Ordered takes in an operator's order. It reports whether it is new.
+func (r *Reducer) Ordered(now mesh.Time, o Order) bool {
+	m := r.move(o.Service)
+	if o.Revision <= m.order.Revision {
+		return false
+	}
+	m.order, m.orderedAt = o, now
+	m.evidence = make(map[mesh.InstanceID]Evidence)
+	m.changedAt = now
+	return true
+}
+
+// Stored takes in the stored row of a roll-out. It reports whether it is newer
+// than the one that was known.
+func (r *Reducer) Stored(now mesh.Time, row Row) bool {
+	m := r.move(row.Service)
+	if row.Revision <= m.row.Revision {
+		return false
+	}
+	if row.Stage != m.row.Stage || row.Order != m.row.Order {
+		m.stageAt = now
+	}
+	m.row, m.changedAt = row, now
+	return true
+}
+
+// Observe takes in the counts of a gate. Counts only grow, so the larger ones of
+// an instance are the later ones.
+func (r *Reducer) Observe(e Evidence) {
+	m := r.moves[e.Service]
+	if m == nil || e.Order != m.order.Revision {
+		return
+	}
+	old, ok := m.evidence[e.Instance]
+	if ok && old.Incarnation == e.Incarnation && answers(e) < answers(old) {
+		return
+	}
+	m.evidence[e.Instance] = e
+}
+
+func answers(e Evidence) (n uint32) {
+	for _, r := range e.Routes {
+		n += r.Answers
+	}
+	return n
+}
+
+// Plan tells which versions of a service may be used.
+type Plan struct {
+	// Ordered is set once a roll-out of the service was ordered.
+	Ordered bool
+	Target  mesh.BackendVersion
+	// Share is the part of the requests for the target.
+	Share routing.Parts
+	// Withdrawn lists versions that must not be used.
+	Withdrawn []mesh.BackendVersion
+	State     State
+}
+
+// Plan returns the present plan of a service. Until the row of an order is
+// known the target gets nothing.
+func (r *Reducer) Plan(s mesh.Service) Plan {
+	m := r.moves[s]
+	if m == nil || m.order.Revision == 0 && m.row.Order == 0 {
+		return Plan{}
+	}
+	p := Plan{Ordered: true, Target: m.order.Target, Withdrawn: m.row.Withdrawn, State: Running}
+	if m.row.Order < m.order.Revision {
+		if m.row.State == RolledBack {
+			p.Withdrawn = append(slices.Clone(p.Withdrawn), m.row.Target)
+		}
+		return p
+	}
+	p.Target, p.State = m.row.Target, m.row.State
+	switch m.row.State {
+	case Completed:
+		p.Share = routing.FullShare
+	case Running:
+		p.Share = stages[min(m.row.Stage, len(stages)-1)].share
+	}
+	return p
+}
+
+// Collecting returns the driver and the order of a running roll-out of the
+// service, to which gates report.
+func (r *Reducer) Collecting(s mesh.Service) (driver mesh.HostID, order uint64, ok bool) {
+	m := r.moves[s]
+	if m == nil || m.order.Revision == 0 || m.row.Order != m.order.Revision || m.row.State.Final() {
+		return "", 0, false
+	}
+	return m.row.Driver, m.order.Revision, true
+}
+
+// Order returns the revision of the service's latest order, zero for none.
+func (r *Reducer) Order(s mesh.Service) uint64 {
+	if m := r.moves[s]; m != nil {
+		return m.order.Revision
+	}
+	return 0
+}
+
+// Tick advances all roll-outs and appends the rows to store. rank is the place
+// of this host among the live ones.
+func (r *Reducer) Tick(now mesh.Time, rank int, slots func(mesh.Service) Slots, out []Write) []Write {
+	for _, service := range slices.SortedFunc(maps.Keys(r.moves), cmp.Compare[mesh.Service]) {
+		m := r.moves[service]
+		if row, ok := r.next(now, m, rank, slots(service)); ok {
+			m.writtenAt = now
+			out = append(out, Write{Row: row, Expect: m.row.Revision})
+		}
+	}
+	return out
+}
+
+// next returns the row to store now, if any.
+func (r *Reducer) next(now mesh.Time, m *move, rank int, slots Slots) (Row, bool) {
+	if m.order.Revision == 0 || now.Sub(m.writtenAt) < rewriteTime && m.writtenAt > m.changedAt {
+		return Row{}, false
+	}
+	delay := time.Duration(rank) * rankDelay
+	if m.row.Order < m.order.Revision {
+		if now.Sub(m.orderedAt) < delay {
+			return Row{}, false
+		}
+		return r.begin(m), true
+	}
+	if m.row.Order != m.order.Revision || m.row.State.Final() {
+		return Row{}, false
+	}
+	row := m.row
+	row.Beat++
+	if m.row.Driver != r.host {
+		row.Driver = r.host
+		return row, now.Sub(m.changedAt) >= takeoverTime+delay
+	}
+	if reason := Judge(m.order.Target, r.all(m)); reason != "" {
+		row.State, row.Reason = RolledBack, reason
+		return row, true
+	}
+	if m.stageEnded(now, slots) {
+		row.Stage++
+		if row.Stage == len(stages) {
+			row.Stage, row.State = len(stages)-1, Completed
+		}
+		return row, true
+	}
+	return row, now.Sub(m.changedAt) >= beatInterval
+}
+
+// begin returns the first row of the present order. A version that was taken
+// back stays withdrawn unless it is ordered again.
+func (r *Reducer) begin(m *move) Row {
+	withdrawn := slices.Clone(m.row.Withdrawn)
+	if m.row.State == RolledBack && !slices.Contains(withdrawn, m.row.Target) {
+		withdrawn = append(withdrawn, m.row.Target)
+	}
+	withdrawn = slices.DeleteFunc(withdrawn, func(v mesh.BackendVersion) bool { return v == m.order.Target })
+	return Row{
+		Service: m.order.Service, Target: m.order.Target, Order: m.order.Revision,
+		State: Running, Driver: r.host, Withdrawn: withdrawn,
+	}
+}
+
+func (r *Reducer) all(m *move) []Evidence {
+	return slices.SortedFunc(maps.Values(m.evidence), func(a, b Evidence) int { return cmp.Compare(a.Instance, b.Instance) })
+}
+
+// stageEnded reports whether the present stage has lasted its time and the new
+// version can carry the next share.
+func (m *move) stageEnded(now mesh.Time, slots Slots) bool {
+	elapsed := float64(now.Sub(m.orderedAt)) / float64(max(m.order.Duration, time.Second))
+	if now.Sub(m.stageAt) < minStageTime || elapsed < stages[m.row.Stage].until || slots[m.order.Target] == 0 {
+		return false
+	}
+	if elapsed >= hurryPart {
+		return true
+	}
+	if m.row.Stage == 0 && m.targetAnswers() < minCanaryAnswers {
+		return false
+	}
+	return m.row.Stage+1 >= len(stages) || m.capacity(slots, stages[m.row.Stage+1].share)
+}
+
+func (m *move) targetAnswers() (n uint32) {
+	for _, e := range m.evidence {
+		if e.Version == m.order.Target {
+			n += answers(e)
+		}
+	}
+	return n
+}
+
+// capacity reports whether the new version has slots for a share.
+func (m *move) capacity(slots Slots, share routing.Parts) bool {
+	old := 0
+	for version, n := range slots {
+		if version != m.order.Target {
+			old += n
+		}
+	}
+	need := capacityPart * float64(old) * float64(share) / float64(routing.FullShare)
+	return float64(slots[m.order.Target]) >= need
+}
--- a/internal/routing/instance.go
+++ b/internal/routing/instance.go
@@ -102,7 +102,11 @@
 // ramp returns the probability with which a drawn instance is accepted.
 func (i *instance) ramp(now mesh.Time) float64 {
 	start := max(i.FirstAnnounced, i.readmittedAt)
-	age := float64(now.Sub(start)) / float64(rampTime)
+	length := i.Ramp
+	if length == 0 {
+		length = rampTime
+	}
+	age := float64(now.Sub(start)) / float64(length)
 	if start == 0 || age >= 1 {
 		return 1
 	}
--- a/internal/routing/types.go
+++ b/internal/routing/types.go
@@ -29,6 +29,8 @@
 	Reachable bool
 	// FirstAnnounced starts the cold-start ramp. Zero means long ago.
 	FirstAnnounced mesh.Time
+	// Ramp is the length of the cold-start ramp. Zero stands for the default.
+	Ramp time.Duration
 }
 
 // VersionShare is the share of a service's calls that one version receives.
--- /dev/null
+++ b/internal/sidecar/follow.go
@@ -0,0 +1,170 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+	"github.com/chicoryscale/chicoryscale/internal/proxy"
+	"github.com/chicoryscale/chicoryscale/internal/rollout"
+)
+
+const (
+	// operatorWait is the time that the store holds a request for changes of the
+	// operator's rows. It bounds the time for which a silent connection hides
+	// a change of the configuration.
+	operatorWait = 2 * time.Second
+	// sharedWait is the same for the rows of the nodes, which peers also tell.
+	sharedWait = 8 * time.Second
+	// storeTimeout bounds any answer of the store, beyond the time it is asked to
+	// wait.
+	storeTimeout = 700 * time.Millisecond
+	// storeBackoff is the pause after a failure of the store, with jitter.
+	storeBackoff = 300 * time.Millisecond
+	// memberPrefix and rolloutPrefix start the keys of the rows of TableShared.
+	memberPrefix  = "member/"
+	rolloutPrefix = "rollout/"
+)
+
+// follow keeps the replica of a table.
+func (n *Node) follow(ctx context.Context, t Table) {
+	loaded, alive := false, false
+	wait := operatorWait
+	if t == TableShared {
+		wait = sharedWait
+	}
+	var after platform.Revision
+	for ctx.Err() == nil {
+		var err error
+		if !loaded {
+			after, err = n.load(ctx, t)
+		} else {
+			after, err = n.awaitChanges(ctx, t, after, wait)
+		}
+		switch {
+		case err == nil:
+			loaded = true
+		case errorx.IsOfType(err, ErrHistoryLost):
+			loaded = false
+			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", uint64(after))
+			continue
+		}
+		if (err == nil) != alive {
+			alive = err == nil
+			n.storeState(t, loaded, alive, err)
+		}
+		if err != nil {
+			pause(ctx, storeBackoff/2+rand.N(storeBackoff))
+		}
+	}
+}
+
+// storeState tells the reducer about the table that it depends on for driving
+// roll-outs and counting hosts.
+func (n *Node) storeState(t Table, loaded, alive bool, err error) {
+	cause := ""
+	if err != nil {
+		cause = err.Error()
+	}
+	n.log.Event("store.table", "table", int(t), "alive", alive, "cause", cause)
+	if t == TableShared {
+		n.step(proxy.StoreState{Loaded: loaded, Alive: alive})
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func (n *Node) load(ctx context.Context, t Table) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	rows, revision, err := n.platform.Rows(ctx, t)
+	if err != nil {
+		return 0, err
+	}
+	changes := make([]Change, 0, len(rows))
+	for _, r := range rows {
+		changes = append(changes, Change{Row: r})
+	}
+	n.take(t, changes, revision)
+	return revision, nil
+}
+
+func (n *Node) awaitChanges(ctx context.Context, t Table, after platform.Revision, wait time.Duration) (platform.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
+	defer cancel()
+	changes, revision, err := n.platform.Changes(ctx, t, after, wait)
+	if err != nil {
+		return after, err
+	}
+	n.take(t, changes, revision)
+	return max(after, revision), nil
+}
+
+// take applies changes of a table and gives the news to the reducer.
+func (n *Node) take(t Table, changes []Change, revision platform.Revision) {
+	for _, c := range n.replicas[t].apply(changes, revision) {
+		if t == TableOperator {
+			n.takeOperatorRow(c)
+		} else {
+			n.takeSharedRow(c)
+		}
+	}
+}
+
+func (n *Node) takeOperatorRow(c Change) {
+	if c.Deleted {
+		return // a configuration and an order hold until another follows
+	}
+	row, err := n.platform.DecodeOperatorRow(c.Row)
+	switch {
+	case err != nil:
+		n.log.Line(time.Now(), "operator.row_unreadable", "key", c.Key, "revision", uint64(c.Revision), "error", err.Error())
+	case row.Configuration != nil:
+		n.step(proxy.ConfigurationSeen{Snapshot: row.Configuration})
+	case row.Order != nil:
+		n.step(proxy.OrderSeen{Order: *row.Order})
+	}
+}
+
+func (n *Node) takeSharedRow(c Change) {
+	if host, ok := strings.CutPrefix(c.Key, memberPrefix); ok {
+		n.takeMember(mesh.HostID(host), c)
+		return
+	}
+	if !strings.HasPrefix(c.Key, rolloutPrefix) || c.Deleted {
+		return
+	}
+	var row rollout.Row
+	if err := json.Unmarshal(c.Value, &row); err != nil {
+		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "error", err.Error())
+		return
+	}
+	row.Revision = uint64(c.Revision)
+	n.step(proxy.RolloutSeen{Row: row})
+}
+
+func (n *Node) takeMember(host mesh.HostID, c Change) {
+	if c.Deleted {
+		n.step(proxy.MemberRemoved{Host: host})
+		return
+	}
+	var m proxy.Member
+	if err := json.Unmarshal(c.Value, &m); err != nil || m.Host != host {
+		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "host", string(m.Host))
+		return
+	}
+	n.step(proxy.MembersSeen{Members: []proxy.Member{m}})
+}
--- /dev/null
+++ b/internal/sidecar/gate.go
@@ -0,0 +1,238 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/proxy"
+	"github.com/chicoryscale/chicoryscale/internal/upstream"
+)
+
+// forwarded is a request on its way to a gate.
+type forwarded struct {
+	method, target, host string
+	header               http.Header
+	body                 []byte
+
+	instance     mesh.InstanceID
+	route        mesh.Route
+	rank         int
+	deadline     mesh.Time
+	leftToTarget time.Duration
+	mayQueue     bool
+	idempotent   bool
+	print        mesh.Fingerprint
+	crashes      uint8
+}
+
+// gateAnswer is the end of a forwarded request.
+type gateAnswer struct {
+	outcome    mesh.Outcome
+	reason     mesh.Reason
+	reached    bool // the instance was handed the request
+	hostFailed bool
+	crashes    uint8
+	load       mesh.Load
+	hasLoad    bool
+	response   *upstream.Response // set for Answered
+}
+
+func (a *gateAnswer) failed() bool {
+	return a.outcome == mesh.Answered && a.response.Status >= http.StatusInternalServerError
+}
+
+// sendToGate forwards a request to the gate of another host.
+func (n *Node) sendToGate(ctx context.Context, addr string, f *forwarded) gateAnswer {
+	f.encode(f.header, n.now())
+	resp, err := n.hostPool(addr).Do(ctx, &upstream.Request{
+		Method: f.method, Target: f.target, Host: f.host, Header: f.header, Body: f.body, Fragile: !f.idempotent,
+	})
+	if err != nil {
+		return hostError(ctx, err)
+	}
+	a, ok := decodeGateAnswer(resp.Header)
+	if !ok {
+		return gateAnswer{outcome: mesh.MayHaveRun, reason: mesh.ReasonBadRequest}
+	}
+	a.response = resp
+	return a
+}
+
+// hostError classifies the failure of an exchange with another node.
+func hostError(ctx context.Context, err error) gateAnswer {
+	ended := ctx.Err() != nil
+	a := gateAnswer{outcome: mesh.MayHaveRun, reason: mesh.ReasonConnectionLost, hostFailed: !ended, reached: true}
+	if ended {
+		a.reason = mesh.ReasonDeadline
+	}
+	if !errorx.IsOfType(err, upstream.ErrLost) {
+		a.outcome, a.reached = mesh.NotRun, false
+	}
+	return a
+}
+
+// serveForward handles a request of another node.
+func (n *Node) serveForward(w http.ResponseWriter, r *http.Request) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	body, err := n.readBody(w, r)
+	if err != nil {
+		n.refuseBody(w, r, err)
+		return
+	}
+	f, ok := decodeForwarded(r, body, n.now())
+	if !ok {
+		n.log.Line(time.Now(), "gate.bad_request", "remote", r.RemoteAddr)
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), n.wall(f.deadline))
+	defer cancel()
+	a := n.runAtGate(ctx, &f)
+	status := http.StatusServiceUnavailable
+	if a.response != nil {
+		for name, values := range a.response.Header {
+			w.Header()[name] = values
+		}
+		status = a.response.Status
+	}
+	if w.Header()["Content-Type"] == nil {
+		w.Header()["Content-Type"] = nil
+	}
+	a.encode(w.Header())
+	var content []byte
+	if a.response != nil {
+		content = a.response.Body
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	w.WriteHeader(status)
+	if _, err := w.Write(content); err != nil {
+		n.log.Line(time.Now(), "gate.write_failed", "remote", r.RemoteAddr, "error", err.Error())
+	}
+}
+
+// runAtGate admits a request to the instance on this host and runs it there.
+func (n *Node) runAtGate(ctx context.Context, f *forwarded) gateAnswer {
+	id := mesh.CallID(n.nextID.Add(1))
+	effects := make(chan proxy.GateEffect, waiterEffects)
+	n.mu.Lock()
+	n.gates[id] = effects
+	n.mu.Unlock()
+	defer func() {
+		n.mu.Lock()
+		delete(n.gates, id)
+		n.mu.Unlock()
+	}()
+	n.step(proxy.GateArrived{
+		Call: id, Instance: f.instance, Route: f.route, Rank: f.rank, Left: f.deadline.Sub(n.now()), LeftToTarget: f.leftToTarget,
+		MayQueue: f.mayQueue, Fingerprint: f.print, Crashes: f.crashes,
+	})
+	select {
+	case e := <-effects:
+		if e.Action == proxy.GateDispatch {
+			return n.dispatch(ctx, id, f, &e)
+		}
+		n.logGate(f, id, "rejected", e.Reason, e.Load, 0)
+		return gateAnswer{outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, crashes: e.Crashes}
+	case <-ctx.Done():
+	}
+	n.step(proxy.GateCancelled{Call: id})
+	select {
+	case e := <-effects: // decided meanwhile
+		if e.Action == proxy.GateDispatch {
+			n.step(proxy.GateDone{Call: id, Result: proxy.GateNotSent})
+		}
+	default:
+	}
+	return gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonDeadline}
+}
+
+// logGate writes a line for a decision of the gate. A free slot decides nothing,
+// so only rejections and failures are logged.
+func (n *Node) logGate(f *forwarded, id mesh.CallID, result string, reason mesh.Reason, load mesh.Load, took time.Duration) {
+	n.log.Line(time.Now(), "gate."+result, "gate_call", uint64(id), "request", f.header.Get(n.headers.Identity),
+		"instance", string(f.instance), "route", string(f.route), "reason", reason.String(), "may_queue", f.mayQueue,
+		"slots", load.Slots, "in_use", load.InUse, "queued", load.Queued, "left_ms", f.deadline.Sub(n.now()).Milliseconds(),
+		"took_ms", took.Milliseconds())
+}
+
+// dispatch gives an admitted request to the instance.
+func (n *Node) dispatch(ctx context.Context, id mesh.CallID, f *forwarded, e *proxy.GateEffect) gateAnswer {
+	began := time.Now()
+	f.header.Set(n.headers.Expected, string(f.instance))
+	f.header.Set(n.headers.DeadlineMillis, strconv.FormatInt(max(f.deadline.Sub(n.now()).Milliseconds(), 1), 10))
+	resp, err := n.instance.Do(ctx, &upstream.Request{
+		Method: f.method, Target: f.target, Host: f.host, Header: f.header, Body: f.body, Fragile: !f.idempotent,
+	})
+	done := proxy.GateDone{Call: id}
+	var a gateAnswer
+	if err != nil {
+		a, done.Result, done.Down = n.instanceError(ctx, err)
+	} else {
+		a, done.Result = n.readInstance(resp)
+		done.Failed = a.outcome == mesh.Answered && a.failed()
+	}
+	n.step(done)
+	n.inspect(func(r *proxy.Node) {
+		if done.Down {
+			a.crashes = r.CrashCount(n.now(), f.print)
+		}
+	})
+	a.load, a.hasLoad = e.Load, true
+	a.load.InUse = max(a.load.InUse, 1) - 1
+	n.metrics.gate(done.Result, time.Since(began))
+	if done.Result != proxy.GateAnswered {
+		n.logGate(f, id, gateResultNames[done.Result], a.reason, a.load, time.Since(began))
+	}
+	return a
+}
+
+// gateResultNames are the names of results in logs and metrics.
+var gateResultNames = [...]string{
+	proxy.GateAnswered: "answered", proxy.GateNotSent: "not_sent", proxy.GateLost: "lost", proxy.GateRefused: "refused",
+	proxy.GateMisdirected: "misdirected", proxy.GateAbandoned: "abandoned",
+}
+
+// instanceError classifies a failed exchange with the instance. down is set if
+// it no longer accepts connections.
+func (n *Node) instanceError(ctx context.Context, err error) (a gateAnswer, result proxy.GateResult, down bool) {
+	if !errorx.IsOfType(err, upstream.ErrLost) {
+		a = gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonConnectionLost}
+		if errorx.IsOfType(err, upstream.ErrBusy) {
+			a.reason = mesh.ReasonOverload
+		}
+		return a, proxy.GateNotSent, errors.Is(err, syscall.ECONNREFUSED)
+	}
+	a = gateAnswer{outcome: mesh.MayHaveRun, reason: mesh.ReasonConnectionLost, reached: true}
+	if ctx.Err() != nil {
+		a.reason = mesh.ReasonDeadline
+		return a, proxy.GateAbandoned, false
+	}
+	return a, proxy.GateLost, n.instance.Refuses()
+}
+
+// readInstance reads what an instance's answer means.
+func (n *Node) readInstance(resp *upstream.Response) (gateAnswer, proxy.GateResult) {
+	signed := resp.Header.Get(n.headers.Signature) != ""
+	a := gateAnswer{outcome: mesh.Answered, reached: true, response: resp}
+	answerHeader(resp.Header)
+	switch {
+	case resp.Status == http.StatusMisdirectedRequest && !signed:
+		return gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonNoTarget, reached: true}, proxy.GateMisdirected
+	case resp.Header.Get(n.headers.NotRun) != "":
+		return gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonOverload, reached: true}, proxy.GateRefused
+	case !signed && (resp.Status < http.StatusMultipleChoices || slices.Contains(notRunStatuses[:], resp.Status)),
+		resp.Header.Get("Content-Encoding") != "":
+		// Not the instance's own answer, or one that would promise too much.
+		return gateAnswer{outcome: mesh.MayHaveRun, reason: mesh.ReasonConnectionLost, reached: true}, proxy.GateLost
+	}
+	return a, proxy.GateAnswered
+}
--- /dev/null
+++ b/internal/sidecar/peers.go
@@ -0,0 +1,199 @@
+package sidecar
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/proxy"
+	"github.com/chicoryscale/chicoryscale/internal/rollout"
+)
+
+const (
+	// peerService names the service of net/rpc.
+	peerService    = "Peer"
+	methodExchange = peerService + ".Exchange"
+	methodEvidence = peerService + ".Evidence"
+	// exchangeInterval is the period of exchanges with a random peer while the
+	// store is alive, and hurriedInterval while it is not.
+	exchangeInterval = 500 * time.Millisecond
+	hurriedInterval  = 150 * time.Millisecond
+	// peerTimeout bounds an exchange and the opening of its connection.
+	peerTimeout = 400 * time.Millisecond
+)
+
+// ErrPeer means that an exchange with another node failed.
+var ErrPeer = namespace.NewType("peer")
+
+// Digest tells what a node knows, so that a peer sends only what is news to it.
+type Digest struct {
+	Self     proxy.Member
+	Known    uint64 // hash over the members
+	Operator platform.Revision
+	Shared   platform.Revision
+}
+
+// News is what a peer knows beyond a digest.
+type News struct {
+	Self     proxy.Member
+	Members  []proxy.Member
+	Operator []Change
+	Shared   []Change
+	// OperatorAt and SharedAt are the revisions that the changes are complete up to.
+	OperatorAt platform.Revision
+	SharedAt   platform.Revision
+	Poison     []poison.Entry
+}
+
+// PeerService serves exchanges to other nodes.
+type PeerService struct{ node *Node }
+
+// Exchange answers a digest with news.
+func (s *PeerService) Exchange(d Digest, out *News) error {
+	n := s.node
+	n.step(proxy.MembersSeen{Members: []proxy.Member{d.Self}})
+	n.step(proxy.PeerChecked{Host: d.Self.Host, Alive: true})
+	n.inspect(func(r *proxy.Node) {
+		out.Self = r.Self()
+		if r.MembersDigest() != d.Known {
+			out.Members = r.Members()
+		}
+		out.Poison = r.PoisonEntries(n.now())
+	})
+	out.Operator, out.OperatorAt = n.replicas[TableOperator].since(d.Operator)
+	out.Shared, out.SharedAt = n.replicas[TableShared].since(d.Shared)
+	return nil
+}
+
+// Evidence takes in the counts of a gate.
+func (s *PeerService) Evidence(e rollout.Evidence, _ *struct{}) error {
+	s.node.step(proxy.EvidenceReceived{Evidence: e})
+	return nil
+}
+
+// peerSet holds the connections to other nodes.
+type peerSet struct {
+	node *Node
+
+	mu      sync.Mutex
+	clients map[string]*rpc.Client // by peer address
+}
+
+func newPeerSet(n *Node) *peerSet { return &peerSet{node: n, clients: make(map[string]*rpc.Client)} }
+
+// check exchanges state with a host to learn whether it is alive.
+func (p *peerSet) check(c proxy.PeerCheck) {
+	go func() {
+		err := p.exchange(c.Addr)
+		p.node.step(proxy.PeerChecked{Host: c.Host, Alive: err == nil})
+	}()
+}
+
+// report sends the counts of this host's gate to the driver of a roll-out. Later
+// reports contain the counts of lost ones.
+func (p *peerSet) report(r proxy.EvidenceReport) {
+	go func() {
+		if err := p.call(r.Addr, methodEvidence, r.Evidence, new(struct{})); err != nil {
+			p.node.log.Line(time.Now(), "rollout.report_failed", "driver", r.Addr, "error", err.Error())
+		}
+	}()
+}
+
+// exchange asks a peer for news.
+func (p *peerSet) exchange(addr string) error {
+	n := p.node
+	d := Digest{Operator: n.replicas[TableOperator].at(), Shared: n.replicas[TableShared].at()}
+	n.inspect(func(r *proxy.Node) { d.Self, d.Known = r.Self(), r.MembersDigest() })
+	var news News
+	if err := p.call(addr, methodExchange, d, &news); err != nil {
+		return err
+	}
+	n.step(proxy.MembersSeen{Members: append(news.Members, news.Self)})
+	n.step(proxy.PoisonSeen{Entries: news.Poison})
+	n.take(TableOperator, news.Operator, news.OperatorAt)
+	n.take(TableShared, news.Shared, news.SharedAt)
+	return nil
+}
+
+// call makes one call. A connection that fails or stays silent is closed.
+func (p *peerSet) call(addr, method string, args, reply any) error {
+	client, err := p.client(addr)
+	if err != nil {
+		return ErrPeer.Wrap(err, "dial %s", addr)
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(peerTimeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+		err = call.Error
+	case <-timer.C:
+		err = errorx.TimeoutElapsed.New("no answer within %v", peerTimeout)
+	}
+	if err != nil {
+		p.drop(addr, client)
+		return ErrPeer.Wrap(err, "%s at %s", method, addr)
+	}
+	return nil
+}
+
+func (p *peerSet) client(addr string) (*rpc.Client, error) {
+	p.mu.Lock()
+	client := p.clients[addr]
+	p.mu.Unlock()
+	if client != nil {
+		return client, nil
+	}
+	c, err := net.DialTimeout("tcp", addr, peerTimeout)
+	if err != nil {
+		return nil, err
+	}
+	client = rpc.NewClient(c)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.clients[addr]; other != nil { // opened at the same time
+		_ = client.Close()
+		return other, nil
+	}
+	p.clients[addr] = client
+	return client, nil
+}
+
+func (p *peerSet) drop(addr string, client *rpc.Client) {
+	_ = client.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.clients[addr] == client {
+		delete(p.clients, addr)
+	}
+}
+
+// gossip exchanges state with random peers.
+func (n *Node) gossip(ctx context.Context) {
+	for ctx.Err() == nil {
+		var peer proxy.Member
+		alive := true
+		n.inspect(func(r *proxy.Node) {
+			peer, alive = r.RandomPeer(rand.Uint64()), r.StoreAlive()
+		})
+		if peer.PeerAddr != "" {
+			err := n.peers.exchange(peer.PeerAddr)
+			if err != nil {
+				n.log.Line(time.Now(), "peer.exchange_failed", "host", string(peer.Host), "error", err.Error())
+			}
+			n.step(proxy.PeerChecked{Host: peer.Host, Alive: err == nil})
+		}
+		interval := exchangeInterval
+		if !alive {
+			interval = hurriedInterval
+		}
+		pause(ctx, interval/2+rand.N(interval))
+	}
+}
--- /dev/null
+++ b/internal/sidecar/publish.go
@@ -0,0 +1,121 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+	"github.com/chicoryscale/chicoryscale/internal/proxy"
+	"github.com/chicoryscale/chicoryscale/internal/rollout"
+)
+
+const (
+	// announceInterval is the least time between two writes of this host's row.
+	announceInterval = 100 * time.Millisecond
+	// commitTimeout bounds the answer to a write.
+	commitTimeout = 900 * time.Millisecond
+	// rolloutQueue bounds the roll-out rows that wait to be written.
+	rolloutQueue = 16
+)
+
+// announce keeps this host's row in the store at its present state.
+func (n *Node) announce(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.announced:
+		}
+		for n.writeSelf(ctx) != nil && ctx.Err() == nil {
+			pause(ctx, storeBackoff/2+rand.N(storeBackoff))
+		}
+		pause(ctx, announceInterval)
+	}
+}
+
+// writeSelf writes the row under the condition that it is the one last seen. A
+// write that the store performs late can then not replace a newer one.
+func (n *Node) writeSelf(ctx context.Context) error {
+	var self proxy.Member
+	n.inspect(func(r *proxy.Node) { self = r.Self() })
+	value, err := json.Marshal(self)
+	if err != nil {
+		return errorx.Decorate(err, "encode the record of %s", self.Host)
+	}
+	key := memberPrefix + string(self.Host)
+	present := n.replicas[TableShared].row(key)
+	if present.Revision == 0 && n.replicas[TableShared].at() == 0 {
+		return ErrStore.New("the table is not loaded yet")
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	revision, conflict, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: present.Revision},
+		[]Write{{TableShared, platform.Put{Key: key, Value: value}}})
+	switch {
+	case err == nil:
+		n.keep(platform.Row{Key: key, Value: value, Revision: revision})
+	case errorx.IsOfType(err, ErrConflict):
+		n.keep(conflict)
+	default:
+		n.log.Line(time.Now(), "store.write_failed", "key", key, "error", err.Error())
+	}
+	return err
+}
+
+// keep takes in a row that a write has shown.
+func (n *Node) keep(row platform.Row) {
+	if row.Revision > 0 {
+		n.take(TableShared, []Change{{Row: row}}, 0)
+	}
+}
+
+type rolloutWrite struct{ rollout.Write }
+
+func (n *Node) queueRollout(w rollout.Write) {
+	select {
+	case n.rollouts <- rolloutWrite{w}:
+	default: // the reducer repeats a write that shows no effect
+	}
+}
+
+// writeRollouts writes the rows of roll-outs that this host drives, together
+// with what operators read of them.
+func (n *Node) writeRollouts(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case w := <-n.rollouts:
+			if err := n.writeRollout(ctx, w.Write); err != nil {
+				n.log.Line(time.Now(), "rollout.write_failed", "service", string(w.Row.Service), "error", err.Error())
+			}
+		}
+	}
+}
+
+func (n *Node) writeRollout(ctx context.Context, w rollout.Write) error {
+	value, err := json.Marshal(w.Row)
+	if err != nil {
+		return errorx.Decorate(err, "encode the roll-out of %s", w.Row.Service)
+	}
+	status, err := n.platform.EncodeStatus(w.Row)
+	if err != nil {
+		return err
+	}
+	key := rolloutPrefix + string(w.Row.Service)
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	revision, conflict, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: platform.Revision(w.Expect)},
+		[]Write{{TableShared, platform.Put{Key: key, Value: value}}, {TableStatus, status}})
+	switch {
+	case err == nil:
+		n.keep(platform.Row{Key: key, Value: value, Revision: revision})
+	case errorx.IsOfType(err, ErrConflict):
+		n.keep(conflict)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/sidecar/replica.go
@@ -0,0 +1,71 @@
+package sidecar
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+)
+
+// replica is this node's copy of a table, kept by the store's changes and, while
+// the store is away, by those of peers.
+type replica struct {
+	mu       sync.Mutex
+	rows     map[string]Change // deleted rows included
+	revision platform.Revision // the copy is complete up to it
+}
+
+func newReplica() *replica { return &replica{rows: make(map[string]Change)} }
+
+// apply takes in changes up to a revision and returns those that were news, in
+// the order of their revisions.
+func (r *replica) apply(changes []Change, revision platform.Revision) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var news []Change
+	for _, c := range changes {
+		if old, ok := r.rows[c.Key]; ok && old.Revision >= c.Revision {
+			continue
+		}
+		r.rows[c.Key] = c
+		news = append(news, c)
+	}
+	r.revision = max(r.revision, revision)
+	slices.SortStableFunc(news, func(a, b Change) int { return cmp.Compare(a.Revision, b.Revision) })
+	return news
+}
+
+// since returns the changes after a revision, and the revision that the copy is
+// complete up to.
+func (r *replica) since(after platform.Revision) ([]Change, platform.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if after >= r.revision {
+		return nil, r.revision
+	}
+	var out []Change
+	for _, c := range r.rows {
+		if c.Revision > after {
+			out = append(out, c)
+		}
+	}
+	return out, r.revision
+}
+
+// at returns the revision that the copy is complete up to.
+func (r *replica) at() platform.Revision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
+// row returns a row, whose revision is zero if it doesn't exist.
+func (r *replica) row(key string) platform.Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if c, ok := r.rows[key]; ok && !c.Deleted {
+		return c.Row
+	}
+	return platform.Row{Key: key}
+}
--- /dev/null
+++ b/internal/sidecar/servers.go
@@ -0,0 +1,163 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/rpc"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"github.com/valyala/fasthttp"
+
+	"github.com/chicoryscale/chicoryscale/internal/httplog"
+	"github.com/chicoryscale/chicoryscale/internal/proxy"
+)
+
+// ErrListen means that an address could not be bound.
+var ErrListen = namespace.NewType("listen")
+
+const (
+	// headerTimeout bounds the time in which a client sends a request's headers.
+	headerTimeout = 5 * time.Second
+	// clientIdleTimeout exceeds the idle time that configurations grant clients,
+	// so that a client never finds a connection closed that it may still use.
+	clientIdleTimeout = 90 * time.Second
+	// maxHeaderBytes exceeds what configurations allow for headers.
+	maxHeaderBytes = 64 << 10
+	// controlReadTimeout bounds the calls of the instance and of the platform.
+	controlReadTimeout = 5 * time.Second
+)
+
+// server is one listening server of the process.
+type server struct {
+	name     string
+	serve    func() error
+	shutdown func(context.Context) error
+}
+
+// listen binds all addresses or none.
+func (n *Node) listen() ([]server, error) {
+	s := &n.settings
+	var servers []server
+	for _, spec := range []struct {
+		name, addr string
+		make       func(name string, l net.Listener) server
+	}{
+		{"calls", s.CallAddr, n.callServer(n.serveCall)},
+		{"forward", s.ForwardAddr, n.callServer(n.serveForward)},
+		{"control", s.ControlAddr, n.controlServer(n.serveControl)},
+		{"ready", s.ReadyAddr, n.controlServer(n.serveReady)},
+		{"metrics", s.MetricsAddr, n.controlServer(n.metrics.handler())},
+		{"peers", s.PeerAddr, n.peerServer},
+	} {
+		if spec.addr == "" {
+			continue
+		}
+		l, err := net.Listen("tcp", spec.addr)
+		if err != nil {
+			for _, open := range n.listeners {
+				_ = open.Close()
+			}
+			return nil, ErrListen.Wrap(err, "listen for %s on %s", spec.name, spec.addr)
+		}
+		n.listeners = append(n.listeners, l)
+		servers = append(servers, spec.make(spec.name, l))
+	}
+	return servers, nil
+}
+
+// callServer serves requests with net/http, which reports at once when a client
+// closes its connection during a request; fasthttp does not.
+func (n *Node) callServer(handler http.HandlerFunc) func(string, net.Listener) server {
+	return func(name string, l net.Listener) server {
+		s := &http.Server{
+			Handler: n.guard(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout,
+			MaxHeaderBytes: maxHeaderBytes, ErrorLog: quietLog,
+		}
+		return server{name: name, serve: func() error { return s.Serve(l) }, shutdown: s.Shutdown}
+	}
+}
+
+// guard ends only the request, and not the process, when a handler panics. The
+// connection is closed, because an answer may have begun.
+func (n *Node) guard(next http.HandlerFunc) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			if cause := recover(); cause != nil {
+				n.log.Event("panic", "where", r.URL.Path, "cause", cause)
+				panic(http.ErrAbortHandler)
+			}
+		}()
+		next(w, r)
+	})
+}
+
+func (n *Node) controlServer(handler fasthttp.RequestHandler) func(string, net.Listener) server {
+	return func(name string, l net.Listener) server {
+		s := &fasthttp.Server{
+			Handler: handler, NoDefaultServerHeader: true, ReadTimeout: clientIdleTimeout, WriteTimeout: controlReadTimeout,
+			Logger: httplog.Quiet{}, CloseOnShutdown: true, MaxRequestBodySize: maxHeaderBytes,
+		}
+		return server{name: name, serve: func() error { return s.Serve(l) }, shutdown: s.ShutdownWithContext}
+	}
+}
+
+func (n *Node) serveReady(ctx *fasthttp.RequestCtx) {
+	ready := false
+	n.inspect(func(r *proxy.Node) { ready = r.Ready() })
+	if string(ctx.Path()) != n.platform.ReadyPath() {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	if !ready {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+}
+
+// serveControl takes the heartbeats of the instance on this host.
+func (n *Node) serveControl(ctx *fasthttp.RequestCtx) {
+	call, err := n.platform.DecodeControl(string(ctx.Method()), string(ctx.RequestURI()), ctx.PostBody())
+	ctx.SetContentType("application/json")
+	switch {
+	case err != nil:
+		n.log.Line(time.Now(), "instance.bad_call", "error", err.Error(), "remote", ctx.RemoteAddr().String())
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+	case call.Report != nil:
+		n.step(*call.Report)
+		ctx.SetBodyString("{}")
+	case call.Leave != nil:
+		n.step(*call.Leave)
+		ctx.SetBodyString("{}")
+	}
+}
+
+// peerServer serves the exchanges of other nodes by net/rpc.
+func (n *Node) peerServer(name string, l net.Listener) server {
+	rpcServer := rpc.NewServer()
+	conns := newConnSet()
+	serve := func() error {
+		if err := rpcServer.RegisterName(peerService, &PeerService{n}); err != nil {
+			return err
+		}
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				if errors.Is(err, net.ErrClosed) {
+					return nil
+				}
+				return errorx.Decorate(err, "accept on %s", name)
+			}
+			conns.add(c)
+			go func() {
+				defer conns.remove(c)
+				rpcServer.ServeConn(c)
+			}()
+		}
+	}
+	return server{name: name, serve: serve, shutdown: func(context.Context) error {
+		defer conns.closeAll()
+		return l.Close()
+	}}
+}
