--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -83,8 +83,8 @@
 func (n *Node) slots(service mesh.Service) rollout.Slots {
 	slots := make(rollout.Slots)
 	for _, m := range n.members {
-		if i := m.Instance; i != nil && i.Service == service && !i.Closed && !m.Leaving && m.reachable {
-			slots[i.Version] += int(i.Slots)
+		if i := m.Instance; i != nil && i.Service == service {
+			slots[i.Version] += m.usableSlots()
 		}
 	}
 	return slots
@@ -92,51 +92,50 @@
 
 // updateShares sets the versions that may be used of each service.
 func (n *Node) updateShares() {
-	services := make(map[mesh.Service]map[mesh.BackendVersion]int)
+	services := make(map[mesh.Service]rollout.Slots)
 	for _, m := range n.members {
 		i := m.Instance
 		if i == nil {
 			continue
 		}
 		if services[i.Service] == nil {
-			services[i.Service] = make(map[mesh.BackendVersion]int)
+			services[i.Service] = make(rollout.Slots)
 		}
-		services[i.Service][i.Version] += int(i.Slots)
+		// A version whose instances are all away is known but has no slots.
+		services[i.Service][i.Version] += m.usableSlots()
 	}
-	for service, versions := range services {
-		n.router.SetShares(shares(service, versions, n.rollouts.Plan(service)))
+	for service, slots := range services {
+		n.router.SetShares(shares(service, slots, n.rollouts.Plan(service)))
 	}
 }
 
 // shares turns a plan into the shares of the versions present.
-func shares(service mesh.Service, versions map[mesh.BackendVersion]int, plan rollout.Plan) routing.Shares {
-	sorted := slices.SortedFunc(maps.Keys(versions), cmp.Compare[mesh.BackendVersion])
+func shares(service mesh.Service, slots rollout.Slots, plan rollout.Plan) routing.Shares {
+	sorted := slices.SortedFunc(maps.Keys(slots), cmp.Compare[mesh.BackendVersion])
 	out := routing.Shares{Service: service}
 	if !plan.Ordered {
 		// A version beside the usual one waits for its order.
-		if main := largest(sorted, versions); len(sorted) > 1 {
-			out.Versions = []routing.VersionShare{{Version: main, Parts: routing.FullShare}}
+		if len(sorted) > 1 {
+			out.Versions = []routing.VersionShare{{Version: largest(sorted, slots), Parts: routing.FullShare}}
 		}
 		return out
 	}
-	var others []mesh.BackendVersion
-	for _, v := range sorted {
-		if v != plan.Target && !slices.Contains(plan.Withdrawn, v) {
-			others = append(others, v)
-		}
-	}
-	if plan.State == rollout.Completed || len(others) == 0 {
-		others = nil
-	}
 	out.Versions = append(out.Versions, routing.VersionShare{Version: plan.Target, Parts: plan.Share})
+	if plan.State == rollout.Completed {
+		return out
+	}
+	others := slices.DeleteFunc(sorted, func(v mesh.BackendVersion) bool {
+		return v == plan.Target || slices.Contains(plan.Withdrawn, v)
+	})
 	if len(others) > 0 {
-		out.Fallback = largest(others, versions)
+		out.Fallback = largest(others, slots)
 		out.Versions = append(out.Versions, routing.VersionShare{Version: out.Fallback, Parts: routing.FullShare - plan.Share})
 	}
 	return out
 }
 
-func largest(sorted []mesh.BackendVersion, slots map[mesh.BackendVersion]int) (best mesh.BackendVersion) {
+// largest returns the version with the most slots, the first one of several.
+func largest(sorted []mesh.BackendVersion, slots rollout.Slots) (best mesh.BackendVersion) {
 	for _, v := range sorted {
 		if best == "" || slots[v] > slots[best] {
 			best = v
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -67,6 +67,14 @@
 	checkSince mesh.Time
 }
 
+// usableSlots returns the slots that take requests.
+func (m *member) usableSlots() int {
+	if m.Instance == nil || m.Instance.Closed || m.Leaving || !m.reachable {
+		return 0
+	}
+	return int(m.Instance.Slots)
+}
+
 // Members returns the known hosts, sorted by name.
 func (n *Node) Members() []Member {
 	list := make([]Member, 0, len(n.members))
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -23,7 +23,7 @@
 
 // ownPart is the part of the budget that a node uses up. The rest covers calls
 // that a repeated request makes again at other services.
-const ownPart = 0.6
+const ownPart = 0.45
 
 // Window counts the requests and repeats of one service at one node. A node
 // uses its share of the common budget without asking others, so that the sum
