--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -72,10 +72,17 @@
 // ID that is already present is rejected as a duplicate.
 func (g *Gate) Arrive(now mesh.Time, c Call, out []Effect) []Effect {
 	inst := g.instances[c.Instance]
-	if reason := g.refuse(now, inst, c); reason != mesh.ReasonNone {
+	if reason := g.refuse(inst, c); reason != mesh.ReasonNone {
 		return append(out, rejection(c.ID, c.Instance, reason, inst))
 	}
-	rec := g.newRecord(c, inst)
+	rec := g.newRecord(now, c, inst)
+	rec.late = inst.misses(now, c, inst.wait(rec))
+	if !inst.canAdmit(now, rec) {
+		return g.rejectRecord(rec, mesh.ReasonDeadline, out)
+	}
+	if rec.late && !inst.hasRoomForLate() {
+		return g.rejectRecord(rec, mesh.ReasonOverload, out)
+	}
 	if !inst.enqueue(rec, g.limits.QueuePerSlot) {
 		return g.rejectRecord(rec, mesh.ReasonOverload, out)
 	}
@@ -94,7 +101,7 @@
 	inst := rec.inst
 	switch finish {
 	case Finished:
-		inst.observe(now.Sub(rec.started))
+		inst.observe(rec.Route, now.Sub(rec.started))
 	case Lost:
 		inst.rememberLost(now, rec.Fingerprint)
 	}
@@ -147,12 +154,13 @@
 	for _, inst := range g.order {
 		for i := 0; i < len(inst.queue); {
 			rec := inst.queue[i]
-			if inst.canMeet(now, rec.Deadline) {
+			reason := inst.expired(now, rec)
+			if reason == mesh.ReasonNone {
 				i++
 				continue
 			}
 			inst.dequeue(rec)
-			out = g.rejectRecord(rec, mesh.ReasonDeadline, out)
+			out = g.rejectRecord(rec, reason, out)
 		}
 		out = g.dispatch(now, inst, out)
 		out = g.reportEmpty(inst, out)
@@ -178,7 +186,7 @@
 // Empty reports whether no call is queued or in flight.
 func (g *Gate) Empty() bool { return len(g.calls) == 0 }
 
-func (g *Gate) refuse(now mesh.Time, inst *instance, c Call) mesh.Reason {
+func (g *Gate) refuse(inst *instance, c Call) mesh.Reason {
 	switch {
 	case g.calls[c.ID] != nil:
 		return mesh.ReasonDuplicate
@@ -188,8 +196,6 @@
 		return mesh.ReasonNoTarget
 	case inst.draining:
 		return mesh.ReasonDraining
-	case !inst.canAdmit(now, c):
-		return mesh.ReasonDeadline
 	}
 	return mesh.ReasonNone
 }
@@ -200,7 +206,11 @@
 func (g *Gate) dispatch(now mesh.Time, inst *instance, out []Effect) []Effect {
 	for len(inst.queue) > 0 && inst.hasFreeSlot() {
 		rec := inst.queue[0]
-		if !inst.canMeet(now, rec.Deadline) {
+		if !rec.late && inst.misses(now, rec.Call, 0) && len(inst.queue) > 1 {
+			inst.demote(rec)
+			continue
+		}
+		if !inst.canMeet(now, rec.Call) {
 			inst.dequeue(rec)
 			out = g.rejectRecord(rec, mesh.ReasonDeadline, out)
 			continue
@@ -255,7 +265,7 @@
 	return out
 }
 
-func (g *Gate) newRecord(c Call, inst *instance) *call {
+func (g *Gate) newRecord(now mesh.Time, c Call, inst *instance) *call {
 	rec := g.free
 	if rec == nil {
 		rec = &call{}
@@ -263,7 +273,7 @@
 		g.free = rec.next
 	}
 	g.sequence++
-	*rec = call{Call: c, inst: inst, state: queued, sequence: g.sequence}
+	*rec = call{Call: c, inst: inst, state: queued, arrived: now, sequence: g.sequence}
 	g.calls[c.ID] = rec
 	return rec
 }
--- a/internal/admission/instance.go
+++ b/internal/admission/instance.go
@@ -41,6 +41,8 @@
 	Call
 	inst     *instance
 	state    callState
+	arrived  mesh.Time
+	late     bool   // will miss its target
 	sequence uint64 // order of arrival
 	started  mesh.Time
 	next     *call // in the list of free records
@@ -63,10 +65,12 @@
 	lost      []lostCall
 	mean      time.Duration // moving average of service times
 	deviation time.Duration // moving average of the distance from the mean
+	// byRoute holds the moving averages of service times of each route.
+	byRoute map[mesh.Route]time.Duration
 }
 
 func newInstance(id mesh.InstanceID, limits Limits) *instance {
-	return &instance{id: id, mean: limits.InitialServiceTime}
+	return &instance{id: id, mean: limits.InitialServiceTime, byRoute: make(map[mesh.Route]time.Duration)}
 }
 
 func (i *instance) load() mesh.Load {
@@ -82,31 +86,52 @@
 	return !i.down && !alone && len(i.running) < i.slots
 }
 
+// expected returns the expected service time of a call.
+func (i *instance) expected(c Call) time.Duration {
+	if d, ok := i.byRoute[c.Route]; ok {
+		return d
+	}
+	return i.mean
+}
+
 // canMeet reports whether a call that starts now is likely to end in time. A
 // slot that other calls wait for is given only to a call that is very likely
 // to.
-func (i *instance) canMeet(now, deadline mesh.Time) bool {
-	need := i.mean
+func (i *instance) canMeet(now mesh.Time, c Call) bool {
+	need := i.expected(c)
 	if len(i.queue) > 1 {
 		need += startDeviations * i.deviation
 	}
-	return deadline.Sub(now) >= need
+	return c.Deadline.Sub(now) >= need
 }
 
 // canAdmit reports whether an arriving call is likely to end in time, after
 // the calls that would run before it.
-func (i *instance) canAdmit(now mesh.Time, c Call) bool {
+func (i *instance) canAdmit(now mesh.Time, rec *call) bool {
 	if len(i.queue) == 0 && i.hasFreeSlot() {
-		return i.canMeet(now, c.Deadline)
+		return i.canMeet(now, rec.Call)
 	}
-	wait := i.mean * time.Duration(i.position(c)+1) / time.Duration(i.slots)
-	return c.Deadline.Sub(now) >= wait+i.mean+marginDeviations*i.deviation
+	return rec.Deadline.Sub(now) >= i.wait(rec)+i.expected(rec.Call)+marginDeviations*i.deviation
+}
+
+// wait returns the expected time until an arriving call starts.
+func (i *instance) wait(rec *call) time.Duration {
+	if len(i.queue) == 0 && i.hasFreeSlot() {
+		return 0
+	}
+	return i.mean * time.Duration(i.position(rec)+1) / time.Duration(i.slots)
+}
+
+// misses reports whether a call that waits for the given time ends after its
+// target.
+func (i *instance) misses(now mesh.Time, c Call, wait time.Duration) bool {
+	return c.Target != 0 && c.Target.Sub(now) < wait+i.expected(c)
 }
 
-// position returns the number of queued calls that run before c.
-func (i *instance) position(c Call) int {
-	n, _ := slices.BinarySearchFunc(i.queue, c, func(q *call, c Call) int {
-		if before(q.Call, c) <= 0 {
+// position returns the number of queued calls that run before rec.
+func (i *instance) position(rec *call) int {
+	n, _ := slices.BinarySearchFunc(i.queue, rec, func(q, rec *call) int {
+		if before(q, rec) <= 0 {
 			return -1 // equal calls keep their order of arrival
 		}
 		return 1
@@ -114,16 +139,31 @@
 	return n
 }
 
-// before orders calls by priority, highest first, then by deadline.
-func before(a, b Call) int {
-	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.Deadline, b.Deadline))
+// before orders calls that meet their target first, then by priority, highest
+// first, then by target or deadline.
+func before(a, b *call) int {
+	if a.late != b.late {
+		if b.late {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.due(), b.due()))
+}
+
+// due returns the time by which a call should end.
+func (c *call) due() mesh.Time {
+	if c.Target != 0 && !c.late {
+		return c.Target
+	}
+	return c.Deadline
 }
 
 // enqueue inserts a call. It returns false if the queue is full of calls that
 // run before it. The queue may exceed its bound by one until the caller has
 // removed the last call.
 func (i *instance) enqueue(rec *call, perSlot int) bool {
-	at := i.position(rec.Call)
+	at := i.position(rec)
 	if at == len(i.queue) && len(i.queue) >= i.slots*perSlot {
 		return false
 	}
@@ -160,7 +200,14 @@
 }
 
 // observe adds the duration of a finished call to the averages.
-func (i *instance) observe(d time.Duration) {
+func (i *instance) observe(route mesh.Route, d time.Duration) {
+	if route != "" {
+		old, ok := i.byRoute[route]
+		if !ok {
+			old = d
+		}
+		i.byRoute[route] = old + time.Duration(float64(d-old)*serviceTimeWeight)
+	}
 	distance := max(d-i.mean, i.mean-d)
 	i.mean += time.Duration(float64(d-i.mean) * serviceTimeWeight)
 	i.deviation += time.Duration(float64(distance-i.deviation) * serviceTimeWeight)
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -34,8 +34,13 @@
 	ID       mesh.CallID
 	Instance mesh.InstanceID
 	Priority mesh.Priority
+	// Route selects the expected duration of the call. It may be empty.
+	Route mesh.Route
 	// Deadline is the time after which an answer is useless.
-	Deadline    mesh.Time
+	Deadline mesh.Time
+	// Target is the time after which an answer is worth less. Calls that meet it
+	// go before those that don't. Zero stands for none.
+	Target      mesh.Time
 	Fingerprint mesh.Fingerprint
 	// Exclusive is set for a suspect of package poison. The call runs while no
 	// other call is in flight in the same instance.
--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -8,6 +8,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/moves"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/random"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 	"github.com/chicoryscale/chicoryscale/internal/routing"
 )
@@ -210,10 +211,8 @@
 // mix derives a second random number from a step's seed, so that the draw of
 // the version and the draw of the instance are independent.
 func mix(seed uint64) uint64 {
-	z := seed + 0x9e3779b97f4a7c15
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
+	source := random.New(seed)
+	return source.Next()
 }
 
 // attemptDone records the result of an attempt and decides what follows.
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -1,13 +1,14 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
-	"github.com/chicoryscale/chicoryscale/internal/routing"
 )
 
 const (
@@ -42,7 +43,7 @@
 	attempt    uint8 // number of the attempt in flight or last sent
 	sent       bool
 	sentAt     mesh.Time
-	to         routing.Target
+	to         placement.Choice
 	placements int
 	// runs counts the attempts that an instance may have run, reached those
 	// that were handed to an instance.
@@ -66,6 +67,12 @@
 		n.rejectNew(s, e.Call, mesh.ReasonNoRoute, 0)
 		return
 	}
+	limit := callTime(e.Budget, route.Timeout)
+	if n.stopping && s.now.Add(limit) > n.stopEnds {
+		// It could not be answered before the process ends.
+		n.rejectNew(s, e.Call, mesh.ReasonDraining, s.jitter(placeRetryAfter))
+		return
+	}
 	check := n.poison.Check(s.now, e.Fingerprint, 0)
 	if check.Verdict == poison.Convicted {
 		s.record("call.blocked", "call", uint64(e.Call), "crashes", check.Crashes)
@@ -79,13 +86,24 @@
 		id: e.Call, route: route, service: n.destination(s, route), arrived: s.now,
 		fingerprint: e.Fingerprint, crashes: check.Crashes,
 	}
-	c.deadline = s.now.Add(callTime(e.Budget, route.Timeout))
-	c.target = s.now.Add(route.TargetLatency)
+	c.deadline = s.now.Add(limit)
+	c.target = s.now.Add(route.TargetLatency - n.spent(route.Name, e.Budget))
 	n.calls[e.Call] = c
 	n.window(c.service).Request(s.now, n.settings.Repeats)
 	n.place(s, c)
 }
 
+// spent returns the time that the client has used up before this attempt. A
+// client states the time that it still waits, and the first attempts of a route
+// state the most.
+func (n *Node) spent(route mesh.Route, budget time.Duration) time.Duration {
+	if budget <= 0 {
+		return 0
+	}
+	n.longest[route] = max(n.longest[route], budget)
+	return n.longest[route] - budget
+}
+
 // longestCall bounds a call for which neither client nor route states a limit.
 const longestCall = 30 * time.Second
 
@@ -118,33 +136,33 @@
 	return w
 }
 
-// place sends the call to the gate of an instance that seems to have room. The
-// first gates are asked for a free slot; after that the call may wait at the
-// one with the least load.
+// place sends the call to the gate of the instance that is expected to answer
+// first. The first gates are asked for a free slot; after that the call may wait.
 func (n *Node) place(s *step, c *call) {
 	if c.deadline.Sub(s.now) < minLeft {
 		n.finish(s, c, mesh.ReasonDeadline)
 		return
 	}
+	if c.placements >= maxPlacements {
+		n.finish(s, c, c.reason)
+		return
+	}
 	choice, mayQueue := n.choose(s, c)
-	if choice.Miss != routing.MissNone || c.placements >= maxPlacements {
-		if choice.Miss == routing.MissNone {
-			n.router.Done(s.now, choice.Target, routing.Result{Outcome: mesh.NotRun, Reason: mesh.ReasonOverload})
-		}
+	if !choice.Found {
 		if c.reason == mesh.ReasonNone {
 			c.reason = mesh.ReasonNoTarget
 		}
 		n.finish(s, c, c.reason)
 		return
 	}
-	m := n.members[choice.Target.Host]
-	c.to, c.sent, c.sentAt = choice.Target, true, s.now
+	m := n.members[choice.Host]
+	c.to, c.sent, c.sentAt = choice, true, s.now
 	c.attempt++
 	c.placements++
 	n.counters.Forwards++
 	effect := CallEffect{
 		Call: c.id, Action: CallForward, Attempt: c.attempt, Host: m.Host, Addr: m.ForwardAddr,
-		Instance: choice.Target.Instance, Route: c.route.Name, Rank: c.route.Rank, Idempotent: c.route.Idempotent,
+		Instance: choice.ID, Route: c.route.Name, Rank: c.route.Rank, Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, LeftToTarget: c.target.Sub(s.now), MayQueue: mayQueue, Crashes: c.crashes,
 	}
 	if m.Host == n.settings.Host {
@@ -155,18 +173,17 @@
 
 // choose draws the target of the next attempt. mayQueue is set once enough gates
 // have said that they are full, or no other is left.
-func (n *Node) choose(s *step, c *call) (choice routing.Choice, mayQueue bool) {
+func (n *Node) choose(s *step, c *call) (choice placement.Choice, mayQueue bool) {
+	need := placement.Need{Service: c.service, Route: c.route.Name, Idempotent: c.route.Idempotent}
 	if len(c.full) < probesBeforeQueue {
-		excluded := append(append([]mesh.InstanceID(nil), c.failed...), c.full...)
-		choice = n.router.Choose(s.now, s.random(), c.service, routing.Excluded{Instances: excluded})
-		if choice.Miss == routing.MissNone {
-			return choice, false
-		}
-		if len(c.full) == 0 {
+		need.Excluded = slices.Concat(c.failed, c.full)
+		choice = n.table.Choose(s.now, s.random.Next(), need)
+		if choice.Found || len(c.full) == 0 {
 			return choice, false
 		}
 	}
-	return n.router.Choose(s.now, s.random(), c.service, routing.Excluded{Instances: c.failed}), true
+	need.Excluded = c.failed
+	return n.table.Choose(s.now, s.random.Next(), need), true
 }
 
 func (e AttemptDone) apply(n *Node, s *step) {
@@ -175,8 +192,9 @@
 		return
 	}
 	c.sent = false
-	n.router.Done(s.now, c.to, routing.Result{
-		Outcome: e.Outcome, Reason: e.Reason, Failed: e.Failed, Latency: s.now.Sub(c.sentAt), Load: e.Load, HasLoad: e.HasLoad,
+	n.table.Done(s.now, c.to, placement.Result{
+		Served: e.Outcome == mesh.Answered, Failed: e.Failed || e.Outcome == mesh.MayHaveRun || e.Outcome == mesh.NotRun && e.Reached,
+		Draining: e.Reason == mesh.ReasonDraining, Duration: e.Duration, Bytes: e.Bytes, Load: e.Load, HasLoad: e.HasLoad,
 	})
 	if e.HostFailed {
 		n.hostFailed(s, c.to.Host)
@@ -201,12 +219,12 @@
 	if !e.Failed || !c.route.Idempotent || c.runs >= c.route.Attempts || c.deadline.Sub(s.now) < 2*minLeft {
 		return false
 	}
-	return n.repeat(s, c)
+	return n.repeat(s, c, retry.PartFailed)
 }
 
 // repeat draws on the shared budget for one more attempt at an instance.
-func (n *Node) repeat(s *step, c *call) bool {
-	if !n.window(c.service).Repeat(s.now, n.settings.Repeats, n.liveHosts()) {
+func (n *Node) repeat(s *step, c *call, part float64) bool {
+	if !n.window(c.service).Repeat(s.now, n.settings.Repeats, part, n.liveHosts()) {
 		n.counters.RepeatsRefused++
 		return false
 	}
@@ -217,14 +235,14 @@
 // again decides what follows an attempt without an answer to deliver.
 func (n *Node) again(s *step, c *call, e AttemptDone) {
 	if e.Outcome == mesh.Answered { // its repeat is paid for
-		c.failed = append(c.failed, c.to.Instance)
+		c.failed = append(c.failed, c.to.ID)
 		n.place(s, c)
 		return
 	}
 	if e.Outcome == mesh.NotRun && e.Reason == mesh.ReasonOverload && !e.Reached {
-		c.full = append(c.full, c.to.Instance)
+		c.full = append(c.full, c.to.ID)
 	} else {
-		c.failed = append(c.failed, c.to.Instance)
+		c.failed = append(c.failed, c.to.ID)
 	}
 	if c.crashes >= poison.ConvictionCrashes {
 		c.runs = max(c.runs, 1) // the request has run before, under other identities
@@ -237,7 +255,7 @@
 	}
 	// An attempt that no instance has seen costs nothing; any other draws on the
 	// budget.
-	if e.Reached && !n.repeat(s, c) {
+	if e.Reached && !n.repeat(s, c, retry.PartLost) {
 		n.finish(s, c, mesh.ReasonRetryBudget)
 		return
 	}
@@ -263,7 +281,7 @@
 	s.out.Calls = append(s.out.Calls, effect)
 	s.record("call.rejected", "call", uint64(c.id), "route", string(c.route.Name), "service", string(c.service),
 		"outcome", effect.Outcome.String(), "reason", reason.String(), "placements", c.placements, "runs", c.runs,
-		"last_host", string(c.to.Host), "last_instance", string(c.to.Instance),
+		"last_host", string(c.to.Host), "last_instance", string(c.to.ID),
 		"waited_ms", s.now.Sub(c.arrived).Milliseconds(), "left_ms", c.deadline.Sub(s.now).Milliseconds(),
 		"config", uint64(n.config.Version), "retry_after_ms", effect.RetryAfter.Milliseconds())
 	delete(n.calls, c.id)
@@ -287,7 +305,7 @@
 	}
 	n.counters.Cancelled++
 	if c.sent {
-		n.router.Done(s.now, c.to, routing.Result{Outcome: mesh.NotRun, Reason: mesh.ReasonDeadline})
+		n.table.Done(s.now, c.to, placement.Result{})
 	}
 	s.record("call.cancelled", "call", uint64(c.id), "route", string(c.route.Name), "placements", c.placements,
 		"waited_ms", s.now.Sub(c.arrived).Milliseconds())
@@ -311,7 +329,7 @@
 		sp = &split{credit: make(map[mesh.Service]int)}
 		n.splits[r.Name] = sp
 		for _, d := range r.Destinations { // nodes start at different places
-			sp.credit[d.Service] = int(s.random() % uint64(max(d.Weight, 1)))
+			sp.credit[d.Service] = int(s.random.Next() % uint64(max(d.Weight, 1)))
 		}
 	}
 	total, best := 0, r.Destinations[0].Service
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -105,7 +105,7 @@
 		services[i.Service][i.Version] += m.usableSlots()
 	}
 	for service, slots := range services {
-		n.router.SetShares(shares(service, slots, n.rollouts.Plan(service)))
+		n.table.SetShares(shares(service, slots, n.rollouts.Plan(service)))
 	}
 }
 
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -39,6 +39,9 @@
 	HostFailed bool
 	// Crashes is the number of crashes that the gate charges the request with.
 	Crashes uint8
+	// Duration is the time that the instance took, Bytes the size of its answer.
+	Duration time.Duration
+	Bytes    int
 	// Load is the gate's load, valid when HasLoad is set.
 	Load    mesh.Load
 	HasLoad bool
@@ -150,7 +153,10 @@
 type Tick struct{}
 
 // Stop asks the node to stop gracefully.
-type Stop struct{}
+type Stop struct {
+	// Ends is the time at which the process ends.
+	Ends mesh.Time
+}
 
 // Ready holds the effects of a step. They are executed in order.
 type Ready struct {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -67,7 +67,8 @@
 	}
 	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, crashes: check.Crashes}
 	n.gateOut = n.gate.Arrive(s.now, admission.Call{
-		ID: e.Call, Instance: e.Instance, Priority: priority(e.Rank), Deadline: s.now.Add(e.Left),
+		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank),
+		Deadline: s.now.Add(e.Left), Target: s.now.Add(e.LeftToTarget),
 		Fingerprint: e.Fingerprint, Exclusive: check.Verdict == poison.Suspect,
 	}, n.gateOut)
 }
@@ -80,6 +81,8 @@
 // closed tells why the gate takes no request for an instance.
 func (n *Node) closed(id mesh.InstanceID) mesh.Reason {
 	switch {
+	case n.stopping:
+		return mesh.ReasonDraining
 	case n.local.id == "" || n.local.id != id || n.local.down:
 		return mesh.ReasonNoTarget
 	case n.local.draining || n.local.left:
@@ -137,6 +140,9 @@
 	n.announceSelf(s)
 }
 
+// LocalLoad returns the load of the instance on this host.
+func (n *Node) LocalLoad() mesh.Load { return n.gate.Load(n.local.id) }
+
 // CrashCount returns the number of crashes that a request is charged with.
 func (n *Node) CrashCount(now mesh.Time, f mesh.Fingerprint) uint8 {
 	return n.poison.Check(now, f, 0).Crashes
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -129,7 +129,7 @@
 	}
 	old.Member = *m
 	n.membersChanged = true
-	s.record("member.changed", "host", string(m.Host), "domain", string(m.Domain), "incarnation", int64(m.Incarnation),
+	s.record("member.changed", "about", string(m.Host), "domain", string(m.Domain), "incarnation", int64(m.Incarnation),
 		"sequence", m.Sequence, "leaving", m.Leaving, "instance", instanceName(m), "closed", m.Instance != nil && m.Instance.Closed)
 }
 
@@ -159,7 +159,7 @@
 func (n *Node) forget(s *step, m *member, cause string) {
 	delete(n.members, m.Host)
 	n.membersChanged = true
-	s.record("member.forgotten", "host", string(m.Host), "cause", cause)
+	s.record("member.forgotten", "about", string(m.Host), "cause", cause)
 }
 
 // hostFailed takes a host out of routing until an exchange with it succeeds.
@@ -171,7 +171,7 @@
 	n.counters.HostFailures++
 	m.reachable, m.failedAt, m.nextCheck = false, s.now, s.now.Add(checkInterval)
 	n.membersChanged = true
-	s.record("host.unreachable", "host", string(host), "incarnation", int64(m.Incarnation))
+	s.record("host.unreachable", "about", string(host), "incarnation", int64(m.Incarnation))
 	s.out.Checks = append(s.out.Checks, PeerCheck{Host: host, Addr: m.PeerAddr})
 }
 
@@ -186,7 +186,7 @@
 	}
 	m.reachable = true
 	n.membersChanged = true
-	s.record("host.reachable", "host", string(e.Host), "away_ms", s.now.Sub(m.failedAt).Milliseconds())
+	s.record("host.reachable", "about", string(e.Host), "away_ms", s.now.Sub(m.failedAt).Milliseconds())
 }
 
 // checkHosts asks unreachable hosts for a sign of life.
@@ -249,7 +249,7 @@
 		})
 	}
 	n.seen = seen
-	n.router.SetInstances(s.now, list)
+	n.table.SetInstances(list)
 	n.updateShares()
 }
 
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -10,10 +10,11 @@
 	"github.com/chicoryscale/chicoryscale/internal/admission"
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/random"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
-	"github.com/chicoryscale/chicoryscale/internal/routing"
 )
 
 // Settings describe the host and the deployment's bounds.
@@ -36,12 +37,13 @@
 	settings Settings
 
 	config   *catalog.Snapshot
-	router   *routing.Router
+	table    *placement.Table
 	gate     *admission.Gate
 	poison   *poison.Table
 	rollouts *rollout.Reducer
 	windows  map[mesh.Service]*retry.Window
 	splits   map[mesh.Route]*split
+	longest  map[mesh.Route]time.Duration // longest time that a client of the route waits
 
 	calls     map[mesh.CallID]*call
 	gateCalls map[mesh.CallID]*gateCall
@@ -54,31 +56,31 @@
 	// membersChanged asks for a new routing table at the end of the step.
 	membersChanged bool
 
-	started    mesh.Time
-	store      StoreState
-	stopping   bool
-	stoppedAt  mesh.Time
-	nextMinute mesh.Time
-	counters   Counters
+	started  mesh.Time
+	store    StoreState
+	stopping bool
+	stopEnds mesh.Time
+	counters Counters
 }
 
 // step carries the arguments of one Step through the reducer.
 type step struct {
-	now  mesh.Time
-	seed uint64
-	out  *Ready
+	now    mesh.Time
+	random random.Source
+	out    *Ready
 }
 
 // New returns the reducer of a node that knows nothing yet.
 func New(now mesh.Time, s Settings) *Node {
 	n := &Node{
 		settings:  s,
-		router:    routing.New(s.Domain),
+		table:     placement.New(s.Domain),
 		gate:      admission.New(admission.Limits{QueuePerSlot: queuePerSlot, InitialServiceTime: initialServiceTime}),
 		poison:    poison.New(),
 		rollouts:  rollout.New(s.Host),
 		windows:   make(map[mesh.Service]*retry.Window),
 		splits:    make(map[mesh.Route]*split),
+		longest:   make(map[mesh.Route]time.Duration),
 		calls:     make(map[mesh.CallID]*call),
 		gateCalls: make(map[mesh.CallID]*gateCall),
 		members:   make(map[mesh.HostID]*member),
@@ -96,7 +98,7 @@
 // Step applies one event and appends its effects to out. The seed feeds the
 // random choices of the step.
 func (n *Node) Step(now mesh.Time, seed uint64, ev Event, out *Ready) {
-	s := &step{now: now, seed: seed, out: out}
+	s := &step{now: now, random: random.New(seed), out: out}
 	ev.apply(n, s)
 	n.flushGate(s)
 	if n.membersChanged {
@@ -110,18 +112,9 @@
 	s.out.Records = append(s.out.Records, Record{Kind: kind, Attrs: attrs})
 }
 
-// random returns another random number of the step.
-func (s *step) random() uint64 {
-	s.seed += 0x9e3779b97f4a7c15
-	z := s.seed
-	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9
-	z = (z ^ (z >> 27)) * 0x94d049bb133111eb
-	return z ^ (z >> 31)
-}
-
 // jitter returns a random duration of at least half of d and less than d.
 func (s *step) jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(s.random()%uint64(max(d/2, 1)))
+	return d/2 + time.Duration(s.random.Next()%uint64(max(d/2, 1)))
 }
 
 // Ready reports whether the node can serve: it knows the configuration and the
@@ -174,11 +167,11 @@
 	s.record("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
 }
 
-func (Stop) apply(n *Node, s *step) {
+func (e Stop) apply(n *Node, s *step) {
 	if n.stopping {
 		return
 	}
-	n.stopping, n.stoppedAt = true, s.now
+	n.stopping, n.stopEnds = true, e.Ends
 	n.self.Leaving = true
 	n.announceSelf(s)
 	s.record("node.stopping", "calls", len(n.calls), "gate_calls", len(n.gateCalls))
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -21,9 +21,15 @@
 	Span time.Duration
 }
 
-// ownPart is the part of the budget that a node uses up. The rest covers calls
-// that a repeated request makes again at other services.
-const ownPart = 0.45
+// Parts of the budget that a node uses up, by the cause of the repeat. The rest
+// covers the calls that repeated requests make again at other services.
+const (
+	// PartLost is for requests that were lost or refused by an instance.
+	PartLost = 0.45
+	// PartFailed is for answers that state a failure. A failure that comes from an
+	// overloaded service further on would be multiplied by repeats.
+	PartFailed = 0.2
+)
 
 // Window counts the requests and repeats of one service at one node. A node
 // uses its share of the common budget without asking others, so that the sum
@@ -36,16 +42,16 @@
 // Request counts the first attempt of a request.
 func (w *Window) Request(now mesh.Time, b WindowBudget) { w.bucket(now, b).requests++ }
 
-// Repeat reports whether another attempt is within the budget, given the number
-// of nodes that share it, and counts it if so.
-func (w *Window) Repeat(now mesh.Time, b WindowBudget, nodes int) bool {
+// Repeat reports whether another attempt is within a part of the budget, given
+// the number of nodes that share it, and counts it if so.
+func (w *Window) Repeat(now mesh.Time, b WindowBudget, part float64, nodes int) bool {
 	bucket := w.bucket(now, b)
 	requests, repeats := 0, 0
 	for i := range w.buckets {
 		requests += w.buckets[i].requests
 		repeats += w.buckets[i].repeats
 	}
-	if float64(repeats+1) > ownPart*(b.Ratio*float64(requests)+b.Extra/float64(max(nodes, 1))) {
+	if float64(repeats+1) > part*(b.Ratio*float64(requests)+b.Extra/float64(max(nodes, 1))) {
 		return false
 	}
 	bucket.repeats++
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -23,7 +23,7 @@
 			for range perSecond / 10 {
 				windows[n].Request(now, budget)
 				requests[tick]++
-				if windows[n].Repeat(now, budget, nodes) { // every request fails
+				if windows[n].Repeat(now, budget, PartLost, nodes) { // every request fails
 					repeats[tick]++
 				}
 			}
@@ -45,8 +45,8 @@
 	budget := WindowBudget{Extra: 5, Span: 10 * time.Second}
 	var w Window
 	now := mesh.Time(time.Hour)
-	for w.Repeat(now, budget, 1) {
+	for w.Repeat(now, budget, PartLost, 1) {
 	}
-	is.True(!w.Repeat(now.Add(9*time.Second), budget, 1))
-	is.True(w.Repeat(now.Add(11*time.Second), budget, 1))
+	is.True(!w.Repeat(now.Add(9*time.Second), budget, PartLost, 1))
+	is.True(w.Repeat(now.Add(11*time.Second), budget, PartLost, 1))
 }
--- a/internal/routing/choose.go
+++ b/internal/routing/choose.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/random"
 )
 
 // drawTries is the number of random draws for a usable instance before the
@@ -14,7 +15,7 @@
 // choice carries the arguments of one Choose through its steps.
 type choice struct {
 	now      mesh.Time
-	random   random
+	random   random.Source
 	excluded Excluded
 	// anyStanding admits ejected instances, when nothing else is left.
 	anyStanding bool
@@ -27,7 +28,7 @@
 	if s == nil {
 		return Choice{Miss: MissNoInstance}
 	}
-	c := choice{now: now, random: random{seed}, excluded: excluded}
+	c := choice{now: now, random: random.New(seed), excluded: excluded}
 	drawn := s.drawVersion(&c)
 	if inst := c.pickProbe(drawn); inst != nil {
 		return r.chosen(inst, true)
@@ -63,7 +64,7 @@
 	if total == 0 {
 		return nil
 	}
-	draw := c.random.below(total)
+	draw := c.random.Below(total)
 	for i := range s.shareCount() {
 		if draw -= s.weight(i); draw >= 0 {
 			continue
@@ -165,9 +166,9 @@
 	}
 	at := 0
 	for range drawTries {
-		at = c.random.below(len(list))
+		at = c.random.Below(len(list))
 		inst := list[at]
-		if inst != not && c.usable(inst) && c.random.fraction() < inst.ramp(c.now) {
+		if inst != not && c.usable(inst) && c.random.Fraction() < inst.ramp(c.now) {
 			return inst
 		}
 	}
--- a/internal/routing/pinned.go
+++ b/internal/routing/pinned.go
@@ -1,6 +1,9 @@
 package routing
 
-import "github.com/chicoryscale/chicoryscale/internal/mesh"
+import (
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/random"
+)
 
 // ChooseVersion selects an instance of one version, as a move demands it. When
 // that version has no usable instance, an instance of fallback is taken; an
@@ -10,7 +13,7 @@
 	if s == nil {
 		return Choice{Miss: MissNoInstance}
 	}
-	c := choice{now: now, random: random{seed}, excluded: excluded}
+	c := choice{now: now, random: random.New(seed), excluded: excluded}
 	if inst := c.pickProbe(s.find(pinned)); inst != nil {
 		return r.chosen(inst, true)
 	}
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -40,6 +40,7 @@
 	reached    bool // the instance was handed the request
 	hostFailed bool
 	crashes    uint8
+	duration   time.Duration // time that the instance took
 	load       mesh.Load
 	hasLoad    bool
 	response   *upstream.Response // set for Answered
@@ -49,6 +50,13 @@
 	return a.outcome == mesh.Answered && a.response.Status >= http.StatusInternalServerError
 }
 
+func (a *gateAnswer) bytes() int {
+	if a.response == nil {
+		return 0
+	}
+	return len(a.response.Body)
+}
+
 // sendToGate forwards a request to the gate of another host.
 func (n *Node) sendToGate(ctx context.Context, addr string, f *forwarded) gateAnswer {
 	f.encode(f.header, n.now())
@@ -138,7 +146,7 @@
 	select {
 	case e := <-effects:
 		if e.Action == proxy.GateDispatch {
-			return n.dispatch(ctx, id, f, &e)
+			return n.dispatch(ctx, id, f)
 		}
 		n.logGate(f, id, "rejected", e.Reason, e.Load, 0)
 		return gateAnswer{outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, crashes: e.Crashes}
@@ -165,7 +173,7 @@
 }
 
 // dispatch gives an admitted request to the instance.
-func (n *Node) dispatch(ctx context.Context, id mesh.CallID, f *forwarded, e *proxy.GateEffect) gateAnswer {
+func (n *Node) dispatch(ctx context.Context, id mesh.CallID, f *forwarded) gateAnswer {
 	began := time.Now()
 	f.header.Set(n.headers.Expected, string(f.instance))
 	f.header.Set(n.headers.DeadlineMillis, strconv.FormatInt(max(f.deadline.Sub(n.now()).Milliseconds(), 1), 10))
@@ -185,9 +193,9 @@
 		if done.Down {
 			a.crashes = r.CrashCount(n.now(), f.print)
 		}
+		a.load, a.hasLoad = r.LocalLoad(), true
 	})
-	a.load, a.hasLoad = e.Load, true
-	a.load.InUse = max(a.load.InUse, 1) - 1
+	a.duration = time.Since(began)
 	n.metrics.gate(done.Result, time.Since(began))
 	if done.Result != proxy.GateAnswered {
 		n.logGate(f, id, gateResultNames[done.Result], a.reason, a.load, time.Since(began))
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -18,6 +18,7 @@
 	headerTarget     = "Chicory-Target-Ms"
 	headerQueue      = "Chicory-May-Queue"
 	headerPrint      = "Chicory-Fingerprint"
+	headerDuration   = "Chicory-Duration-Us"
 	headerReached    = "Chicory-Reached"
 	headerIdempotent = "Chicory-Idempotent"
 )
@@ -111,6 +112,9 @@
 	if a.crashes > 0 {
 		h.Set(mesh.HeaderCrashes, strconv.Itoa(int(a.crashes)))
 	}
+	if a.duration > 0 {
+		h.Set(headerDuration, strconv.FormatInt(a.duration.Microseconds(), 10))
+	}
 	if a.hasLoad {
 		h.Set(mesh.HeaderLoad, formatLoad(a.load))
 	}
@@ -130,6 +134,8 @@
 	a.reached = h.Get(headerReached) == "1"
 	crashes, _ := strconv.ParseUint(h.Get(mesh.HeaderCrashes), 10, 8) // absent means none
 	a.crashes = uint8(crashes)
+	micros, _ := strconv.ParseInt(h.Get(headerDuration), 10, 64) // absent means unknown
+	a.duration = time.Duration(micros) * time.Microsecond
 	a.load, a.hasLoad = parseLoad(h.Get(mesh.HeaderLoad))
 	for name := range h {
 		if strings.HasPrefix(name, headerPrefix) {
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -63,7 +63,7 @@
 	n.metrics.call(outcome, time.Since(began))
 	n.log.Line(began, "call.done", "call", uint64(req.id), "request", r.Header.Get(n.headers.Identity),
 		"outcome", outcome.status, "reason", outcome.reason.String(), "attempts", outcome.attempts,
-		"host", string(outcome.host), "instance", string(outcome.instance), "ms", time.Since(began).Milliseconds())
+		"to", string(outcome.host), "instance", string(outcome.instance), "ms", time.Since(began).Milliseconds())
 }
 
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
@@ -147,7 +147,7 @@
 	}
 	n.step(proxy.AttemptDone{
 		Call: r.id, Attempt: e.Attempt, Outcome: a.outcome, Reason: a.reason, Failed: a.failed(), Reached: a.reached,
-		HostFailed: a.hostFailed, Crashes: a.crashes, Load: a.load, HasLoad: a.hasLoad,
+		HostFailed: a.hostFailed, Crashes: a.crashes, Duration: a.duration, Bytes: a.bytes(), Load: a.load, HasLoad: a.hasLoad,
 	})
 }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -237,8 +237,11 @@
 	quietTime = 700 * time.Millisecond
 	// leastStopTime is the least time for which new requests are accepted.
 	leastStopTime = 2200 * time.Millisecond
+	// acceptPart is the part of the grace period after which no new request is
+	// accepted, however many clients still come.
+	acceptPart = 0.5
 	// stopMargin is the time left before the end of the grace period.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 400 * time.Millisecond
 )
 
 // stop announces that the node leaves, serves until its clients have moved to
@@ -246,33 +249,27 @@
 func (n *Node) stop(servers []server) {
 	began := time.Now()
 	n.stopping.Store(true)
-	n.step(proxy.Stop{})
+	n.step(proxy.Stop{Ends: n.now().Add(n.settings.GracePeriod - stopMargin)})
 	grace, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.GracePeriod-stopMargin))
 	defer cancel()
-	n.awaitQuiet(grace, began)
-	var closing sync.WaitGroup
+	n.awaitQuiet(began.Add(time.Duration(acceptPart*float64(n.settings.GracePeriod))), began)
+	// Requests of clients end before the gate closes, which some of them need.
 	for _, s := range servers {
-		closing.Go(func() {
-			if err := s.shutdown(grace); err != nil && !errors.Is(err, http.ErrServerClosed) {
-				n.log.Event("node.requests_cut", "server", s.name, "error", err.Error())
-			}
-		})
+		if err := s.shutdown(grace); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			n.log.Event("node.requests_cut", "server", s.name, "error", err.Error())
+		}
 	}
-	closing.Wait()
 	n.log.Event("node.stopped", "after_ms", time.Since(began).Milliseconds(), "calls", n.inFlight.Load(), "lines_left_out", n.log.Dropped())
 }
 
-func (n *Node) awaitQuiet(grace context.Context, began time.Time) {
+// awaitQuiet returns once no client sends requests any more, at the latest at the
+// given time.
+func (n *Node) awaitQuiet(latest, began time.Time) {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
-	for {
-		select {
-		case <-grace.Done():
-			return
-		case <-ticker.C:
-		}
+	for now := range ticker.C {
 		quiet := time.Since(n.started) - time.Duration(n.lastCall.Load())
-		if time.Since(began) >= leastStopTime && quiet >= quietTime && n.inFlight.Load() == 0 {
+		if now.After(latest) || now.Sub(began) >= leastStopTime && quiet >= quietTime && n.inFlight.Load() == 0 {
 			return
 		}
 	}
