--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -94,26 +94,33 @@
 	HasLoad bool
 }
 
-// average is an exponentially weighted moving average.
+// average is an exponentially weighted moving average that returns to a neutral
+// value while it gets no samples. A lifetime of zero keeps it.
 type average struct {
-	value   float64
-	samples int
-	at      mesh.Time // of the last sample
+	neutral  float64
+	lifetime time.Duration
+	value    float64
+	samples  int
+	at       mesh.Time // of the last sample
 }
 
 func (a *average) add(now mesh.Time, v, weight float64) {
+	a.value = a.get(now)
 	a.samples++
 	// The first samples are averaged evenly, so that none dominates.
 	a.value += (v - a.value) * max(weight, 1/float64(a.samples))
 	a.at = now
 }
 
-// faded returns the average on its way back to a neutral value.
-func (a *average) faded(now mesh.Time, neutral float64, lifetime time.Duration) float64 {
-	if a.samples == 0 {
-		return neutral
+// get returns the average at a time.
+func (a *average) get(now mesh.Time) float64 {
+	switch {
+	case a.samples == 0:
+		return a.neutral
+	case a.lifetime == 0:
+		return a.value
 	}
-	return neutral + (a.value-neutral)*max(0, 1-float64(now.Sub(a.at))/float64(lifetime))
+	return a.neutral + (a.value-a.neutral)*max(0, 1-float64(now.Sub(a.at))/float64(a.lifetime))
 }
 
 // instance is what a node knows of an instance.
@@ -127,6 +134,13 @@
 	avoidUntil mesh.Time
 }
 
+func newInstance() *instance {
+	return &instance{
+		slowness: average{neutral: 1, lifetime: speedLifetime},
+		failures: average{lifetime: failureLifetime},
+	}
+}
+
 // load estimates the requests at the instance, those of other nodes by the last
 // report.
 func (i *instance) load(now mesh.Time) float64 {
@@ -177,7 +191,7 @@
 		}
 		inst := old[info.ID]
 		if inst == nil || inst.Host != info.Host || inst.Service != info.Service || info.FirstAnnounced > inst.FirstAnnounced {
-			inst = &instance{}
+			inst = newInstance()
 		}
 		inst.Instance = info
 		inst.Slots = max(1, info.Slots)
@@ -204,7 +218,7 @@
 func (t *Table) route(name mesh.Route) *route {
 	r := t.routes[name]
 	if r == nil {
-		r = &route{}
+		r = &route{duration: average{neutral: float64(defaultDuration)}}
 		t.routes[name] = r
 	}
 	return r
@@ -277,8 +291,8 @@
 // answer, with what leaving the failure domain and a likely failure cost.
 func (t *Table) expected(now mesh.Time, inst *instance, need *Need) float64 {
 	r := t.route(need.Route)
-	typical := r.duration.faded(now, float64(defaultDuration), 1<<62)
-	speed := inst.slowness.faded(now, 1, speedLifetime)
+	typical := r.duration.get(now)
+	speed := inst.slowness.get(now)
 	if inst.cold(now) {
 		speed = max(speed, coldFactor)
 	}
@@ -288,7 +302,7 @@
 	if !need.Idempotent {
 		factor = onceFailureCost
 	}
-	failure := inst.failures.faded(now, 0, failureLifetime) * factor * typical
+	failure := inst.failures.get(now) * factor * typical
 	return wait + typical*speed + failure + t.away(inst, r)
 }
 
@@ -303,7 +317,7 @@
 // meanBusy returns the mean duration of the requests of a service.
 func (t *Table) meanBusy(now mesh.Time, name mesh.Service) float64 {
 	if a := t.busy[name]; a != nil {
-		return a.faded(now, float64(defaultDuration), 1<<62)
+		return a.get(now)
 	}
 	return float64(defaultDuration)
 }
@@ -347,7 +361,7 @@
 	r.bytes.add(now, float64(res.Bytes), routeWeight)
 	busy := t.busy[inst.Service]
 	if busy == nil {
-		busy = &average{}
+		busy = &average{neutral: float64(defaultDuration)}
 		t.busy[inst.Service] = busy
 	}
 	busy.add(now, d, routeWeight)
--- /dev/null
+++ b/internal/placement/placement_test.go
@@ -0,0 +1,142 @@
+package placement
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/routing"
+)
+
+const (
+	start = mesh.Time(time.Hour)
+	home  = mesh.FailureDomain("a")
+	away  = mesh.FailureDomain("b")
+)
+
+func instances(domains ...mesh.FailureDomain) []routing.Instance {
+	var list []routing.Instance
+	for i, d := range domains {
+		name := strconv.Itoa(i)
+		list = append(list, routing.Instance{
+			Host: mesh.HostID("h" + name), Domain: d, ID: mesh.InstanceID("i" + name), Service: "s", Version: "v1", Slots: 9, Reachable: true,
+		})
+	}
+	return list
+}
+
+var need = Need{Service: "s", Route: "r", Idempotent: true}
+
+// serve sends n requests one after another and counts them by instance. The
+// duration of an instance's answers is given by its name.
+func serve(t *Table, now mesh.Time, n int, result func(id mesh.InstanceID) Result) map[mesh.InstanceID]int {
+	counts := make(map[mesh.InstanceID]int)
+	for i := range n {
+		at := now.Add(time.Duration(i) * 10 * time.Millisecond)
+		c := t.Choose(at, uint64(i), need)
+		counts[c.ID]++
+		t.Done(at, c, result(c.ID))
+	}
+	return counts
+}
+
+// Guards against requests that wait for slow instances while fast ones are free:
+// instances of one service differ in speed by more than two times.
+func TestPrefersFastInstances(t *testing.T) {
+	is := is.New(t)
+	table := New(home)
+	table.SetInstances(instances(home, home, home))
+	counts := serve(table, start, 400, func(id mesh.InstanceID) Result {
+		d := 130 * time.Millisecond
+		if id == "i2" {
+			d = 56 * time.Millisecond
+		}
+		return Result{Served: true, Duration: d}
+	})
+	is.True(counts["i2"] > 300)
+}
+
+// Guards against an instance that fails part of its requests while its health
+// probe is good and goes on receiving its share, and against one that is never
+// tried again.
+func TestAvoidsFailingInstanceForATime(t *testing.T) {
+	is := is.New(t)
+	table := New(home)
+	table.SetInstances(instances(home, home, home))
+	failing := func(id mesh.InstanceID) Result {
+		return Result{Served: true, Failed: id == "i0", Duration: 90 * time.Millisecond}
+	}
+	counts := serve(table, start, 300, failing)
+	is.True(counts["i0"] < 30)
+	good := func(mesh.InstanceID) Result { return Result{Served: true, Duration: 90 * time.Millisecond} }
+	counts = serve(table, start.Add(10*time.Second), 300, good)
+	is.True(counts["i0"] > 50)
+}
+
+// Guards against large answers that cross failure domains while the own one has
+// room, and against small ones that wait for it.
+func TestLargeAnswersStayInTheirDomain(t *testing.T) {
+	for _, c := range []struct {
+		bytes int
+		want  mesh.InstanceID
+	}{{90_000, "i0"}, {400, "i1"}} {
+		is := is.New(t)
+		table := New(home)
+		table.SetInstances(instances(home, away))
+		serve(table, start, 100, func(mesh.InstanceID) Result {
+			return Result{Served: true, Duration: 72 * time.Millisecond, Bytes: c.bytes}
+		})
+		now := start.Add(2 * time.Second)
+		table.Done(now, table.choose(now, "i0"), Result{HasLoad: true, Load: mesh.Load{Slots: 9, InUse: 9, Queued: 4}})
+		is.Equal(table.Choose(now, 1, need).ID, c.want)
+	}
+}
+
+// choose returns the choice of a given instance.
+func (t *Table) choose(now mesh.Time, id mesh.InstanceID) Choice {
+	for seed := uint64(0); ; seed++ {
+		if c := t.Choose(now, seed, Need{Service: "s", Route: "r", Excluded: others(t, id)}); c.ID == id {
+			return c
+		}
+	}
+}
+
+func others(t *Table, id mesh.InstanceID) (list []mesh.InstanceID) {
+	for other := range t.instances {
+		if other != id {
+			list = append(list, other)
+		}
+	}
+	return list
+}
+
+// Guards against a new version that gets more than its share, and against
+// requests without an instance while the proven version has some.
+func TestSharesOfVersions(t *testing.T) {
+	is := is.New(t)
+	table := New(home)
+	list := instances(home, home)
+	list[1].Version = "v2"
+	table.SetInstances(list)
+	table.SetShares(routing.Shares{Service: "s", Fallback: "v1",
+		Versions: []routing.VersionShare{{Version: "v2", Parts: 600}, {Version: "v1", Parts: 9400}}})
+	counts := serve(table, start, 5000, func(mesh.InstanceID) Result { return Result{Served: true, Duration: 90 * time.Millisecond} })
+	is.True(counts["i1"] > 200 && counts["i1"] < 400) // 300 expected
+	list[1].Reachable = false
+	table.SetInstances(list)
+	counts = serve(table, start, 100, func(mesh.InstanceID) Result { return Result{Served: true} })
+	is.Equal(counts["i0"], 100)
+}
+
+// Guards against requests to an instance that drains.
+func TestDrainingInstanceIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	table := New(home)
+	table.SetInstances(instances(home, home))
+	table.Done(start, table.choose(start, "i0"), Result{Draining: true})
+	counts := serve(table, start, 50, func(mesh.InstanceID) Result { return Result{Served: true} })
+	is.Equal(counts["i1"], 50)
+}
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -281,5 +281,31 @@
 	return peers[seed%uint64(len(peers))]
 }
 
+// nodesPerReader is the number of nodes of a failure domain for each reader of the
+// store. A reader answers about two polls a second of each of them.
+const nodesPerReader = 25
+
+// Reader returns the node of this failure domain that this node follows, and
+// whether it is to read the store itself.
+func (n *Node) Reader() (reader Member, self bool) {
+	var nodes []Member
+	own := 0
+	for _, host := range slices.Sorted(maps.Keys(n.members)) {
+		m := n.members[host]
+		if m.Domain != n.settings.Domain || !m.reachable || m.Leaving {
+			continue
+		}
+		if host == n.settings.Host {
+			own = len(nodes)
+		}
+		nodes = append(nodes, m.Member)
+	}
+	readers := 1 + len(nodes)/nodesPerReader
+	if own < readers || len(nodes) == 0 {
+		return Member{}, true
+	}
+	return nodes[own%readers], false
+}
+
 // StoreAlive reports whether the store answers this node.
 func (n *Node) StoreAlive() bool { return n.store.Alive }
--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,307 @@
+package proxy
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/internal/catalog"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/retry"
+)
+
+const (
+	start = mesh.Time(time.Hour)
+	ms    = time.Millisecond
+)
+
+// rig is a node with two remote hosts and an instance of its own.
+type rig struct {
+	*testing.T
+	node *Node
+	now  mesh.Time
+	out  Ready
+	seed uint64
+}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{T: t, now: start}
+	r.node = New(start, Settings{
+		Host: "h0", Domain: "a", ForwardAddr: "h0:1", PeerAddr: "h0:2", Service: "s", Incarnation: 100,
+		Repeats: retry.WindowBudget{Ratio: 0.2, Extra: 60, Span: 10 * time.Second},
+	})
+	return r
+}
+
+func (r *rig) step(ev Event) *Ready {
+	r.seed++
+	r.out.Reset()
+	r.node.Step(r.now, r.seed, ev, &r.out)
+	return &r.out
+}
+
+func snapshot(t *testing.T, version mesh.ConfigVersion) *catalog.Snapshot {
+	t.Helper()
+	dest := []catalog.Destination{{Service: "s", Weight: 1}}
+	s, err := catalog.Build(version, []catalog.Route{
+		{Name: "read", Host: "a", Prefix: "/read/", Idempotent: true, Timeout: time.Second, TargetLatency: 300 * ms, Attempts: 2, Rank: 2, Destinations: dest},
+		{Name: "book", Host: "a", Prefix: "/book/", Timeout: time.Second, TargetLatency: 300 * ms, Attempts: 2, Rank: 1, Destinations: dest},
+	}, []catalog.Service{{Name: "s"}}, catalog.ClientLimits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func remote(host mesh.HostID, instance mesh.InstanceID, sequence uint64) Member {
+	return Member{Host: host, Domain: "a", ForwardAddr: string(host) + ":1", PeerAddr: string(host) + ":2", Incarnation: 1, Sequence: sequence,
+		Instance: &MemberInstance{ID: instance, Service: "s", Version: "v1", Slots: 2}}
+}
+
+func (r *rig) serving() *rig {
+	r.step(ConfigurationSeen{snapshot(r.T, 5)})
+	r.step(MembersSeen{[]Member{remote("h1", "i1", 1), remote("h2", "i2", 1), remote("h3", "i3", 1)}})
+	return r
+}
+
+func (r *rig) call(id mesh.CallID, path string) CallEffect {
+	r.Helper()
+	out := r.step(CallArrived{Call: id, Host: "a", Path: path, Fingerprint: mesh.Fingerprint(id), Budget: time.Second})
+	if len(out.Calls) != 1 {
+		r.Fatalf("%d effects on a new call", len(out.Calls))
+	}
+	return out.Calls[0]
+}
+
+func (r *rig) done(e CallEffect, a AttemptDone) CallEffect {
+	r.Helper()
+	a.Call, a.Attempt = e.Call, e.Attempt
+	out := r.step(a)
+	if len(out.Calls) != 1 {
+		r.Fatalf("%d effects after an attempt", len(out.Calls))
+	}
+	return out.Calls[0]
+}
+
+// Guards against a node without configuration that denies a route, and against
+// refusals that tell the client nothing.
+func TestNodeWithoutConfigurationAsksToComeBack(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	is.True(!r.node.Ready())
+	e := r.call(1, "/read/1")
+	is.Equal(e.Outcome, mesh.NotRun)
+	is.Equal(e.Reason, mesh.ReasonNoConfiguration)
+	is.True(e.RetryAfter > 0)
+	r.serving()
+	is.True(r.node.Ready())
+	is.Equal(r.call(2, "/other/1").Reason, mesh.ReasonNoRoute)
+}
+
+// Guards against a node that returns to an older configuration.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	r.step(ConfigurationSeen{snapshot(t, 4)})
+	is.Equal(r.node.Config().Version, mesh.ConfigVersion(5))
+	r.step(ConfigurationSeen{snapshot(t, 9)})
+	is.Equal(r.node.Config().Version, mesh.ConfigVersion(9))
+}
+
+// Guards against a request that waits at the first gate while others have free
+// slots, and against one that never accepts to wait.
+func TestAsksOtherGatesBeforeItWaits(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	e := r.call(1, "/read/1")
+	asked := map[mesh.InstanceID]bool{}
+	for range probesBeforeQueue {
+		is.Equal(e.Action, CallForward)
+		is.True(!e.MayQueue && !asked[e.Instance])
+		asked[e.Instance] = true
+		e = r.done(e, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonOverload, Load: mesh.Load{Slots: 2, InUse: 2}, HasLoad: true})
+	}
+	is.True(e.MayQueue)
+}
+
+// Guards against a request that runs twice although it may run once at most, and
+// against a refusal that says it has not run.
+func TestLostNonIdempotentRequestIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	e := r.done(r.call(1, "/book/1"), AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true})
+	is.Equal(e.Action, CallReject)
+	is.Equal(e.Outcome, mesh.MayHaveRun)
+	// One that no instance has seen is placed again.
+	first := r.call(2, "/book/2")
+	again := r.done(first, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonConnectionLost, HostFailed: true})
+	is.Equal(again.Action, CallForward)
+	is.True(again.Host != first.Host)
+}
+
+// Guards against an idempotent request that fails with its first instance, and
+// against one that runs on more instances than its route allows.
+func TestIdempotentRequestIsRepeatedWithinItsAttempts(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	first := r.call(1, "/read/1")
+	second := r.done(first, AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true})
+	is.Equal(second.Action, CallForward)
+	is.True(second.Instance != first.Instance)
+	last := r.done(second, AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true})
+	is.Equal(last.Action, CallReject)
+	is.Equal(last.Outcome, mesh.MayHaveRun)
+}
+
+// Guards against a failing service that is flooded with repeats.
+func TestRepeatsEndWithTheBudget(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	repeats := 0
+	for id := mesh.CallID(1); id <= 500; id++ {
+		e := r.call(id, "/read/1")
+		e = r.done(e, AttemptDone{Outcome: mesh.Answered, Failed: true, Reached: true})
+		if e.Action == CallForward {
+			repeats++
+			r.done(e, AttemptDone{Outcome: mesh.Answered, Failed: true, Reached: true})
+		}
+	}
+	is.True(repeats > 0 && repeats <= int(0.2*500+60))
+}
+
+// Guards against answers within the target that are given up for requests whose
+// clients come back after a refusal, and are late whatever happens.
+func TestReturningRequestIsKnownToBeLate(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	fresh := r.call(1, "/read/1")
+	is.Equal(fresh.LeftToTarget, 300*ms)
+	out := r.step(CallArrived{Call: 2, Host: "a", Path: "/read/1", Fingerprint: 2, Budget: 600 * ms})
+	is.Equal(out.Calls[0].LeftToTarget, -100*ms)
+}
+
+func (r *rig) report(e InstanceReported) *Ready {
+	e.Service, e.Version, e.Slots = "s", "v1", 2
+	return r.step(e)
+}
+
+// Guards against a late heartbeat that revives an instance or takes back its
+// successor.
+func TestLateHeartbeatsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	r.report(InstanceReported{ID: "old", Born: 1000, Sequence: 9})
+	r.report(InstanceReported{ID: "new", Born: 2000, Sequence: 1})
+	r.report(InstanceReported{ID: "old", Born: 1000, Sequence: 10})
+	is.Equal(string(r.node.Self().Instance.ID), "new")
+	r.report(InstanceReported{ID: "new", Born: 2000, Sequence: 3, Draining: true})
+	r.report(InstanceReported{ID: "new", Born: 2000, Sequence: 2})
+	is.True(r.node.Self().Instance.Closed)
+	r.report(InstanceReported{ID: "new", Born: 3000, Sequence: 1}) // started again under its name
+	is.True(!r.node.Self().Instance.Closed)
+	out := r.step(InstanceReported{ID: "x", Service: "other", Version: "v1", Slots: 2, Born: 9000, Sequence: 1})
+	is.True(!out.Announce)
+}
+
+// Guards against work that reaches an instance after it has said that it drains.
+func TestGateOfDrainingInstanceIsClosed(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	r.report(InstanceReported{ID: "i0", Born: 1, Sequence: 1})
+	arrive := GateArrived{Call: 1, Instance: "i0", Route: "read", Left: time.Second, LeftToTarget: 300 * ms}
+	is.Equal(r.step(arrive).Gates[0].Action, GateDispatch)
+	out := r.report(InstanceReported{ID: "i0", Born: 1, Sequence: 2, Draining: true})
+	is.True(out.Announce)
+	arrive.Call = 2
+	e := r.step(arrive).Gates[0]
+	is.Equal(e.Action, GateReject)
+	is.Equal(e.Reason, mesh.ReasonDraining)
+}
+
+// Guards against a stopping node that takes work it cannot finish, and that
+// other nodes go on using.
+func TestStoppingNode(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	r.report(InstanceReported{ID: "i0", Born: 1, Sequence: 1})
+	out := r.step(Stop{Ends: r.now.Add(1500 * ms)})
+	is.True(out.Announce && r.node.Self().Leaving && !r.node.Ready())
+	is.Equal(r.call(1, "/read/1").Action, CallForward) // ends in time
+	r.now = r.now.Add(600 * ms)
+	e := r.call(2, "/read/1")
+	is.Equal(e.Outcome, mesh.NotRun)
+	is.True(e.RetryAfter > 0)
+	gate := r.step(GateArrived{Call: 3, Instance: "i0", Left: time.Second, LeftToTarget: time.Second})
+	is.Equal(gate.Gates[0].Reason, mesh.ReasonDraining)
+}
+
+// Guards against a restarted node whose clock was set back and whose records are
+// taken for old ones.
+func TestIncarnationPassesEarlierProcess(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	out := r.step(MembersSeen{[]Member{{Host: "h0", Incarnation: 500, Sequence: 7}}})
+	is.True(out.Announce)
+	is.True(r.node.Self().Incarnation > 500)
+}
+
+// Guards against requests that go on to a host without a sign of life, and
+// against a host that is never used again.
+func TestFailedHostIsLeftUntilItAnswers(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	e := r.call(1, "/read/1")
+	out := r.step(AttemptDone{Call: 1, Attempt: e.Attempt, Outcome: mesh.NotRun, Reason: mesh.ReasonConnectionLost, HostFailed: true})
+	is.Equal(len(out.Checks), 1)
+	for id := mesh.CallID(10); id < 40; id++ {
+		is.True(r.call(id, "/read/1").Host != e.Host)
+	}
+	r.now = r.now.Add(checkInterval)
+	is.Equal(len(r.step(Tick{}).Checks), 1)
+	r.step(PeerChecked{Host: e.Host, Alive: true})
+	used := false
+	for id := mesh.CallID(50); id < 80; id++ {
+		used = used || r.call(id, "/read/1").Host == e.Host
+	}
+	is.True(used)
+}
+
+// Guards against a request that crashes instances and is tried again and again.
+func TestCrashingRequestIsBlocked(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	e := r.done(r.call(1, "/read/1"), AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true, Crashes: 2})
+	is.Equal(e.Reason, mesh.ReasonPoison)
+	is.Equal(e.Outcome, mesh.MayHaveRun)
+}
+
+// Guards against parts of a traffic split that get more or less than their weight.
+func TestSplitFollowsWeights(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	route := &catalog.Route{Name: "x", Destinations: []catalog.Destination{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+	counts := map[mesh.Service]int{}
+	for range 1000 {
+		counts[r.node.destination(&step{now: start}, route)]++
+	}
+	is.True(counts["b"] >= 99 && counts["b"] <= 101)
+}
+
+// Guards against nodes that follow a reader which gives no sign of life.
+func TestReaderOfAFailureDomain(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	_, self := r.node.Reader()
+	is.True(self) // h0 is the first of its domain
+	other := New(start, Settings{Host: "h9", Domain: "a", ForwardAddr: "h9:1", PeerAddr: "h9:2", Incarnation: 1})
+	var out Ready
+	other.Step(start, 1, MembersSeen{[]Member{remote("h1", "i1", 1), remote("h2", "i2", 1)}}, &out)
+	reader, self := other.Reader()
+	is.True(!self)
+	is.Equal(string(reader.Host), "h1")
+	other.Step(start, 1, PeerChecked{Host: "h1", Alive: false}, &out)
+	reader, _ = other.Reader()
+	is.Equal(string(reader.Host), "h2") // the next one takes its place
+}
--- /dev/null
+++ b/internal/rollout/rollout_test.go
@@ -0,0 +1,183 @@
+package rollout
+
+import (
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/routing"
+)
+
+const (
+	start    = mesh.Time(time.Hour)
+	duration = 15 * time.Second
+	perTick  = 50 * time.Millisecond
+)
+
+// version tells how a version answers, at a time since the order.
+type version func(at time.Duration, random *rand.Rand) (failed bool, took time.Duration)
+
+func sound(_ time.Duration, random *rand.Rand) (bool, time.Duration) {
+	return random.Float64() < 0.01, time.Duration(60+random.IntN(120)) * time.Millisecond
+}
+
+// play runs a roll-out at the given rate of requests a second on seven
+// instances of each version, with two hosts that share the store.
+func play(t *testing.T, seed uint64, rate int, next version, stopDriverAt time.Duration) (final Row, at time.Duration, exposed int) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(seed, 1))
+	hosts := []*Reducer{New("a"), New("b")}
+	order := Order{Service: "s", Target: "v2", Duration: duration, Revision: 10}
+	for _, h := range hosts {
+		h.Ordered(start, order)
+	}
+	slots := func(mesh.Service) Slots { return Slots{"v1": 63, "v2": 63} }
+	var stored Row
+	revision := uint64(10)
+	evidence := make(map[string]*Evidence)
+	for at = 0; at < duration; at += perTick {
+		now := start.Add(at)
+		for range rate * int(perTick) / int(time.Second) {
+			name, v, answer := "v1", "v1-", version(sound)
+			if random.Float64() < float64(hosts[1].Plan("s").Share)/float64(routing.FullShare) {
+				name, v, answer = "v2", "v2-", next
+				exposed++
+			}
+			count(evidence, name, v+strconv.Itoa(random.IntN(7)), random.IntN(3), at, answer, random)
+		}
+		for rank, h := range hosts {
+			if rank == 0 && stopDriverAt > 0 && at >= stopDriverAt {
+				continue
+			}
+			for _, e := range evidence {
+				h.Observe(*e)
+			}
+			for _, w := range h.Tick(now, rank, slots, nil) {
+				if w.Expect != stored.Revision {
+					continue // refused by the store
+				}
+				revision++
+				stored = w.Row
+				stored.Revision = revision
+				for _, other := range hosts {
+					other.Stored(now, stored)
+				}
+			}
+		}
+		if stored.State.Final() {
+			return stored, at, exposed
+		}
+	}
+	return stored, at, exposed
+}
+
+func count(evidence map[string]*Evidence, name, instance string, route int, at time.Duration, answer version, random *rand.Rand) {
+	e := evidence[instance]
+	if e == nil {
+		e = &Evidence{Service: "s", Version: mesh.BackendVersion(name), Instance: mesh.InstanceID(instance), Order: 10,
+			Routes: []RouteCount{{Route: "0"}, {Route: "1"}, {Route: "2"}}}
+		evidence[instance] = e
+	}
+	failed, took := answer(at, random)
+	r := &e.Routes[route]
+	r.Answers++
+	if failed {
+		r.Failures++
+		return
+	}
+	r.Measured++
+	r.Busy += took
+}
+
+// Guards against good versions that are taken back or not done in time, under
+// few and many requests, and when the driver dies in any stage.
+func TestGoodVersionCompletesInTime(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(40) {
+		for _, rate := range []int{40, 400} {
+			final, at, _ := play(t, seed, rate, sound, time.Duration(seed%8)*time.Second)
+			is.Equal(final.State, Completed)
+			is.True(at < duration*9/10)
+		}
+	}
+}
+
+// Guards against bad versions that complete, that get more than their tolerated
+// share, or that get requests long after their fault has shown.
+func TestBadVersionIsTakenBack(t *testing.T) {
+	faults := map[string]version{
+		"errors": func(_ time.Duration, r *rand.Rand) (bool, time.Duration) {
+			return r.Float64() < 0.5, 100 * time.Millisecond
+		},
+		"slow": func(_ time.Duration, r *rand.Rand) (bool, time.Duration) {
+			_, d := sound(0, r)
+			return false, 8 * d
+		},
+		"late": func(at time.Duration, r *rand.Rand) (bool, time.Duration) {
+			return at > 3*time.Second && r.Float64() < 0.5, 100 * time.Millisecond
+		},
+		"one route": func(_ time.Duration, r *rand.Rand) (bool, time.Duration) {
+			return r.Float64() < 0.2, 100 * time.Millisecond
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(30) {
+				final, _, exposed := play(t, seed, 400, fault, 0)
+				is.Equal(final.State, RolledBack)
+				is.True(exposed <= int(0.1*400*duration.Seconds())+50)
+			}
+		})
+	}
+}
+
+// Guards against one faulty instance that takes back a good version.
+func TestOneFaultyInstanceIsNoFaultOfItsVersion(t *testing.T) {
+	is := is.New(t)
+	var all []Evidence
+	for i := range 8 {
+		e := Evidence{Version: "v2", Instance: mesh.InstanceID(strconv.Itoa(i)), Routes: []RouteCount{{Route: "r", Answers: 20, Measured: 20, Busy: 2 * time.Second}}}
+		if i == 0 {
+			e.Routes[0].Failures = 20
+		}
+		if i > 4 {
+			e.Version = "v1"
+		}
+		all = append(all, e)
+	}
+	is.Equal(Judge("v2", all), "")
+}
+
+// Guards against two drivers of one roll-out: a host that lost the row to
+// another one stops writing until that one is silent.
+func TestSecondHostWaitsForTheDriver(t *testing.T) {
+	is := is.New(t)
+	r := New("b")
+	r.Ordered(start, Order{Service: "s", Target: "v2", Duration: duration, Revision: 10})
+	r.Stored(start, Row{Service: "s", Target: "v2", Order: 10, State: Running, Driver: "a", Revision: 11})
+	slots := func(mesh.Service) Slots { return nil }
+	is.Equal(len(r.Tick(start.Add(takeoverTime), 1, slots, nil)), 0)
+	writes := r.Tick(start.Add(takeoverTime+rankDelay), 1, slots, nil)
+	is.Equal(len(writes), 1)
+	is.Equal(string(writes[0].Row.Driver), "b")
+	is.Equal(writes[0].Expect, uint64(11))
+}
+
+// Guards against a version that was taken back and serves again during the next
+// roll-out.
+func TestWithdrawnVersionStaysWithdrawn(t *testing.T) {
+	is := is.New(t)
+	r := New("a")
+	r.Stored(start, Row{Service: "s", Target: "v2", Order: 10, State: RolledBack, Revision: 12})
+	r.Ordered(start, Order{Service: "s", Target: "v3", Duration: duration, Revision: 20})
+	is.Equal(r.Plan("s").Withdrawn, []mesh.BackendVersion{"v2"})
+	writes := r.Tick(start, 0, func(mesh.Service) Slots { return nil }, nil)
+	is.Equal(writes[0].Row.Withdrawn, []mesh.BackendVersion{"v2"})
+	is.Equal(string(r.Plan("s").Target), "v3")
+	is.Equal(r.Plan("s").Share, routing.Parts(0))
+}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -41,6 +41,11 @@
 	}
 	var after platform.Revision
 	for ctx.Err() == nil {
+		if loaded && n.follower.Load() {
+			after = max(after, n.replicas[t].at())
+			pause(ctx, readerCheck)
+			continue
+		}
 		var err error
 		if !loaded {
 			after, err = n.load(ctx, t)
@@ -55,9 +60,12 @@
 			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", uint64(after))
 			continue
 		}
+		if t == TableShared {
+			n.step(proxy.StoreState{Loaded: loaded, Alive: err == nil})
+		}
 		if (err == nil) != alive {
 			alive = err == nil
-			n.storeState(t, loaded, alive, err)
+			n.log.Event("store.table", "table", int(t), "alive", alive, "cause", errorText(err))
 		}
 		if err != nil {
 			pause(ctx, storeBackoff/2+rand.N(storeBackoff))
@@ -65,19 +73,6 @@
 	}
 }
 
-// storeState tells the reducer about the table that it depends on for driving
-// roll-outs and counting hosts.
-func (n *Node) storeState(t Table, loaded, alive bool, err error) {
-	cause := ""
-	if err != nil {
-		cause = err.Error()
-	}
-	n.log.Event("store.table", "table", int(t), "alive", alive, "cause", cause)
-	if t == TableShared {
-		n.step(proxy.StoreState{Loaded: loaded, Alive: alive})
-	}
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -115,7 +110,11 @@
 
 // take applies changes of a table and gives the news to the reducer.
 func (n *Node) take(t Table, changes []Change, revision platform.Revision) {
-	for _, c := range n.replicas[t].apply(changes, revision) {
+	news := n.replicas[t].apply(changes, revision)
+	if len(news) > 0 {
+		defer n.changed.wake()
+	}
+	for _, c := range news {
 		if t == TableOperator {
 			n.takeOperatorRow(c)
 		} else {
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -50,6 +50,8 @@
 	OperatorAt platform.Revision
 	SharedAt   platform.Revision
 	Poison     []poison.Entry
+	// StoreAlive is set if the store answers the peer.
+	StoreAlive bool
 }
 
 // PeerService serves exchanges to other nodes.
@@ -65,7 +67,7 @@
 		if r.MembersDigest() != d.Known {
 			out.Members = r.Members()
 		}
-		out.Poison = r.PoisonEntries(n.now())
+		out.Poison, out.StoreAlive = r.PoisonEntries(n.now()), r.StoreAlive()
 	})
 	out.Operator, out.OperatorAt = n.replicas[TableOperator].since(d.Operator)
 	out.Shared, out.SharedAt = n.replicas[TableShared].since(d.Shared)
@@ -100,7 +102,7 @@
 // reports contain the counts of lost ones.
 func (p *peerSet) report(r proxy.EvidenceReport) {
 	go func() {
-		if err := p.call(r.Addr, methodEvidence, r.Evidence, new(struct{})); err != nil {
+		if err := p.call(r.Addr, methodEvidence, r.Evidence, new(struct{}), peerTimeout); err != nil {
 			p.node.log.Line(time.Now(), "rollout.report_failed", "driver", r.Addr, "error", err.Error())
 		}
 	}()
@@ -108,34 +110,45 @@
 
 // exchange asks a peer for news.
 func (p *peerSet) exchange(addr string) error {
+	_, err := p.ask(addr, methodExchange, peerTimeout)
+	return err
+}
+
+// await asks a reader for news and waits for it. It reports whether the store
+// answers the reader.
+func (p *peerSet) await(reader proxy.Member) (storeAlive bool, err error) {
+	news, err := p.ask(reader.PeerAddr, methodAwait, followHold+peerTimeout)
+	return news.StoreAlive, err
+}
+
+func (p *peerSet) ask(addr, method string, timeout time.Duration) (news News, err error) {
 	n := p.node
 	d := Digest{Operator: n.replicas[TableOperator].at(), Shared: n.replicas[TableShared].at()}
 	n.inspect(func(r *proxy.Node) { d.Self, d.Known = r.Self(), r.MembersDigest() })
-	var news News
-	if err := p.call(addr, methodExchange, d, &news); err != nil {
-		return err
+	if err := p.call(addr, method, d, &news, timeout); err != nil {
+		return news, err
 	}
 	n.step(proxy.MembersSeen{Members: append(news.Members, news.Self)})
 	n.step(proxy.PoisonSeen{Entries: news.Poison})
 	n.take(TableOperator, news.Operator, news.OperatorAt)
 	n.take(TableShared, news.Shared, news.SharedAt)
-	return nil
+	return news, nil
 }
 
 // call makes one call. A connection that fails or stays silent is closed.
-func (p *peerSet) call(addr, method string, args, reply any) error {
+func (p *peerSet) call(addr, method string, args, reply any, timeout time.Duration) error {
 	client, err := p.client(addr)
 	if err != nil {
 		return ErrPeer.Wrap(err, "dial %s", addr)
 	}
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
-	timer := time.NewTimer(peerTimeout)
+	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
 	case <-call.Done:
 		err = call.Error
 	case <-timer.C:
-		err = errorx.TimeoutElapsed.New("no answer within %v", peerTimeout)
+		err = errorx.TimeoutElapsed.New("no answer within %v", timeout)
 	}
 	if err != nil {
 		p.drop(addr, client)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -49,6 +49,10 @@
 	replicas  [2]*replica // by Table
 	announced chan struct{}
 	rollouts  chan rolloutWrite
+	// changed wakes the nodes that follow this one.
+	changed broadcast
+	// follower is set while this node follows a reader.
+	follower atomic.Bool
 
 	poolsMu  sync.Mutex
 	hosts    map[string]*upstream.Pool // by forward address
@@ -210,6 +214,7 @@
 	go n.every(ctx, trimInterval, n.trimPools)
 	go n.follow(ctx, TableOperator)
 	go n.follow(ctx, TableShared)
+	go n.followReader(ctx)
 	signal(n.announced)
 	go n.announce(ctx)
 	go n.writeRollouts(ctx)
