--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -34,9 +34,9 @@
 	// defaultDuration is the expected duration of a request on a route without
 	// answers.
 	defaultDuration = 60 * time.Millisecond
-	// domainDelay is the cost of leaving the failure domain: the round trip and
-	// its use of two links.
-	domainDelay = 2 * time.Millisecond
+	// domainDelay is the cost of leaving the failure domain for a small answer: the
+	// round trip and the headers between the nodes.
+	domainDelay = 15 * time.Millisecond
 	// domainByteTime is the time that a request waits for an instance of its own
 	// failure domain rather than carry a byte of its answer between domains,
 	// where bytes are the scarcest resource: one millisecond for a kilobyte.
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -166,6 +166,8 @@
 	Checks   []PeerCheck
 	Evidence []EvidenceReport
 	Writes   []rollout.Write
+	// Removals are hosts whose rows are to be removed.
+	Removals []mesh.HostID
 	// Announce is set when the record of this host has changed.
 	Announce bool
 }
@@ -174,7 +176,7 @@
 func (r *Ready) Reset() {
 	r.Calls, r.Gates, r.Records = r.Calls[:0], r.Gates[:0], r.Records[:0]
 	r.Checks, r.Evidence, r.Writes = r.Checks[:0], r.Evidence[:0], r.Writes[:0]
-	r.Announce = false
+	r.Removals, r.Announce = r.Removals[:0], false
 }
 
 // CallAction is the kind of a CallEffect.
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -22,6 +22,9 @@
 	// forgetTime is the time after which an unreachable host is forgotten. It
 	// returns with its next announcement.
 	forgetTime = 60 * time.Second
+	// leaveTime is the time after which a host that has left is forgotten. One
+	// that is started again is back earlier.
+	leaveTime = 20 * time.Second
 )
 
 // Member is what a host tells others about itself. Records of a host are
@@ -61,10 +64,10 @@
 // member is a host as this node knows it.
 type member struct {
 	Member
-	reachable  bool
-	failedAt   mesh.Time
-	nextCheck  mesh.Time
-	checkSince mesh.Time
+	reachable bool
+	failedAt  mesh.Time
+	nextCheck mesh.Time
+	changedAt mesh.Time // of the record
 }
 
 // usableSlots returns the slots that take requests.
@@ -127,7 +130,7 @@
 	if m.Incarnation > old.Incarnation {
 		old.reachable = true
 	}
-	old.Member = *m
+	old.Member, old.changedAt = *m, s.now
 	n.membersChanged = true
 	s.record("member.changed", "about", string(m.Host), "domain", string(m.Domain), "incarnation", int64(m.Incarnation),
 		"sequence", m.Sequence, "leaving", m.Leaving, "instance", instanceName(m), "closed", m.Instance != nil && m.Instance.Closed)
@@ -156,6 +159,18 @@
 	}
 }
 
+// retire forgets a host. The first live host also removes its row, so that rows
+// of replaced hosts don't pile up.
+func (n *Node) retire(s *step, m *member, cause string) {
+	if m.Host == n.settings.Host {
+		return
+	}
+	if n.store.Alive && n.rank() == 0 {
+		s.out.Removals = append(s.out.Removals, m.Host)
+	}
+	n.forget(s, m, cause)
+}
+
 func (n *Node) forget(s *step, m *member, cause string) {
 	delete(n.members, m.Host)
 	n.membersChanged = true
@@ -193,11 +208,15 @@
 func (n *Node) checkHosts(s *step) {
 	for _, host := range slices.Sorted(maps.Keys(n.members)) {
 		m := n.members[host]
+		if m.Leaving && s.now.Sub(m.changedAt) > leaveTime {
+			n.retire(s, m, "left")
+			continue
+		}
 		if m.reachable || s.now < m.nextCheck {
 			continue
 		}
 		if s.now.Sub(m.failedAt) > forgetTime {
-			n.forget(s, m, "unreachable")
+			n.retire(s, m, "unreachable")
 			continue
 		}
 		m.nextCheck = s.now.Add(checkInterval)
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -305,3 +305,21 @@
 	reader, _ = other.Reader()
 	is.Equal(string(reader.Host), "h2") // the next one takes its place
 }
+
+// Guards against rows of replaced hosts that pile up in the store, and against
+// one that is removed while its host is only restarted.
+func TestRowOfALeftHostIsRemoved(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	r.step(StoreState{Loaded: true, Alive: true})
+	gone := remote("h1", "i1", 2)
+	gone.Leaving = true
+	back := gone
+	back.Host = "h2"
+	r.step(MembersSeen{[]Member{gone, back}})
+	back.Incarnation, back.Leaving = 2, false
+	r.step(MembersSeen{[]Member{back}})
+	is.Equal(len(r.step(Tick{}).Removals), 0)
+	r.now = r.now.Add(leaveTime + ms)
+	is.Equal(r.step(Tick{}).Removals, []mesh.HostID{"h1"})
+}
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -94,6 +94,7 @@
 		changes = append(changes, Change{Row: r})
 	}
 	n.take(t, changes, revision)
+	n.replicas[t].setLoaded()
 	return revision, nil
 }
 
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -112,8 +112,10 @@
 		}
 		status = a.response.Status
 	}
-	if w.Header()["Content-Type"] == nil {
-		w.Header()["Content-Type"] = nil
+	for _, name := range [...]string{"Content-Type", "Date"} {
+		if w.Header()[name] == nil {
+			w.Header()[name] = nil // keeps net/http from adding it
+		}
 	}
 	a.encode(w.Header())
 	var content []byte
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -9,18 +10,20 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 )
 
-// Headers between nodes, in addition to those of package mesh.
+// Headers between nodes. Each holds all fields, separated by separator, because
+// bytes between failure domains are scarce and there is one pair for each request.
 const (
 	// headerPrefix starts the names of all headers between nodes.
-	headerPrefix     = "Chicory-"
-	headerRoute      = "Chicory-Route"
-	headerRank       = "Chicory-Rank"
-	headerTarget     = "Chicory-Target-Ms"
-	headerQueue      = "Chicory-May-Queue"
-	headerPrint      = "Chicory-Fingerprint"
-	headerDuration   = "Chicory-Duration-Us"
-	headerReached    = "Chicory-Reached"
-	headerIdempotent = "Chicory-Idempotent"
+	headerPrefix = "Chicory-"
+	headerCall   = "Chicory-Call"
+	headerResult = "Chicory-Result"
+	separator    = ";"
+)
+
+// Numbers of fields.
+const (
+	callFields   = 8
+	resultFields = 8
 )
 
 // hopHeaders apply to one connection only (RFC 9110, 7.6.1).
@@ -63,104 +66,89 @@
 
 // encode writes what a gate needs to know into the request's headers.
 func (f *forwarded) encode(h http.Header, now mesh.Time) {
-	h.Set(mesh.HeaderInstance, string(f.instance))
-	h.Set(mesh.HeaderDeadline, strconv.FormatInt(max(f.deadline.Sub(now).Milliseconds(), 1), 10))
-	h.Set(headerRoute, string(f.route))
-	h.Set(headerRank, strconv.Itoa(f.rank))
-	h.Set(headerTarget, strconv.FormatInt(f.leftToTarget.Milliseconds(), 10))
-	h.Set(headerPrint, strconv.FormatUint(uint64(f.print), 16))
-	if f.mayQueue {
-		h.Set(headerQueue, "1")
-	}
-	if f.idempotent {
-		h.Set(headerIdempotent, "1")
-	}
-	if f.crashes > 0 {
-		h.Set(mesh.HeaderCrashes, strconv.Itoa(int(f.crashes)))
-	}
+	h.Set(headerCall, strings.Join([]string{
+		string(f.instance), string(f.route), strconv.Itoa(f.rank),
+		strconv.FormatInt(max(f.deadline.Sub(now).Milliseconds(), 1), 10), strconv.FormatInt(f.leftToTarget.Milliseconds(), 10),
+		strconv.FormatUint(uint64(f.print), 36), strconv.Itoa(int(f.crashes)), formatFlags(f.mayQueue, f.idempotent),
+	}, separator))
 }
 
 // decodeForwarded reads a request of another node. It reports false for a
 // request that no node has sent.
 func decodeForwarded(r *http.Request, body []byte, now mesh.Time) (forwarded, bool) {
-	left, err1 := strconv.ParseInt(r.Header.Get(mesh.HeaderDeadline), 10, 32)
-	target, err2 := strconv.ParseInt(r.Header.Get(headerTarget), 10, 32)
-	rank, err3 := strconv.Atoi(r.Header.Get(headerRank))
-	print, err4 := strconv.ParseUint(r.Header.Get(headerPrint), 16, 64)
-	crashes, err5 := strconv.ParseUint("0"+r.Header.Get(mesh.HeaderCrashes), 10, 8)
-	for _, err := range [...]error{err1, err2, err3, err4, err5} {
-		if err != nil {
-			return forwarded{}, false
-		}
+	fields := strings.Split(r.Header.Get(headerCall), separator)
+	if len(fields) != callFields {
+		return forwarded{}, false
+	}
+	rank, err1 := strconv.Atoi(fields[2])
+	left, err2 := strconv.ParseInt(fields[3], 10, 32)
+	target, err3 := strconv.ParseInt(fields[4], 10, 32)
+	print, err4 := strconv.ParseUint(fields[5], 36, 64)
+	crashes, err5 := strconv.ParseUint(fields[6], 10, 8)
+	mayQueue, idempotent, ok := parseFlags(fields[7])
+	if err := errors.Join(err1, err2, err3, err4, err5); err != nil || !ok {
+		return forwarded{}, false
 	}
 	return forwarded{
 		method: r.Method, target: r.RequestURI, host: r.Host, header: forwardHeader(r.Header), body: body,
-		instance: mesh.InstanceID(r.Header.Get(mesh.HeaderInstance)), route: mesh.Route(r.Header.Get(headerRoute)), rank: rank,
+		instance: mesh.InstanceID(fields[0]), route: mesh.Route(fields[1]), rank: rank,
 		deadline: now.Add(time.Duration(left) * time.Millisecond), leftToTarget: time.Duration(target) * time.Millisecond,
-		mayQueue: r.Header.Get(headerQueue) == "1", idempotent: r.Header.Get(headerIdempotent) == "1",
-		print: mesh.Fingerprint(print), crashes: uint8(crashes),
+		mayQueue: mayQueue, idempotent: idempotent, print: mesh.Fingerprint(print), crashes: uint8(crashes),
 	}, true
 }
 
-// encode writes the gate's result into the headers of its answer.
-func (a *gateAnswer) encode(h http.Header) {
-	h.Set(mesh.HeaderOutcome, a.outcome.String())
-	h.Set(mesh.HeaderReason, a.reason.String())
-	if a.reached {
-		h.Set(headerReached, "1")
+// formatFlags writes two flags as one digit.
+func formatFlags(first, second bool) string {
+	v := 0
+	if first {
+		v |= 1
 	}
-	if a.crashes > 0 {
-		h.Set(mesh.HeaderCrashes, strconv.Itoa(int(a.crashes)))
-	}
-	if a.duration > 0 {
-		h.Set(headerDuration, strconv.FormatInt(a.duration.Microseconds(), 10))
-	}
-	if a.hasLoad {
-		h.Set(mesh.HeaderLoad, formatLoad(a.load))
+	if second {
+		v |= 2
 	}
+	return strconv.Itoa(v)
+}
+
+func parseFlags(text string) (first, second, ok bool) {
+	v, err := strconv.ParseUint(text, 10, 2)
+	return v&1 != 0, v&2 != 0, err == nil
+}
+
+// encode writes the gate's result into the headers of its answer.
+func (a *gateAnswer) encode(h http.Header) {
+	h.Set(headerResult, strings.Join([]string{
+		strconv.Itoa(int(a.outcome)), strconv.Itoa(int(a.reason)), formatFlags(a.reached, a.hasLoad), strconv.Itoa(int(a.crashes)),
+		strconv.FormatInt(a.duration.Microseconds(), 10),
+		strconv.Itoa(int(a.load.Slots)), strconv.Itoa(int(a.load.InUse)), strconv.Itoa(int(a.load.Queued)),
+	}, separator))
 }
 
 // decodeGateAnswer reads the gate's result and removes it from the headers. An
 // answer without one did not come from a gate and proves nothing.
 func decodeGateAnswer(h http.Header) (gateAnswer, bool) {
-	var a gateAnswer
-	var err error
-	if a.outcome, err = mesh.ParseOutcome(h.Get(mesh.HeaderOutcome)); err != nil {
-		return a, false
-	}
-	if a.reason, err = mesh.ParseReason(h.Get(mesh.HeaderReason)); err != nil {
-		return a, false
-	}
-	a.reached = h.Get(headerReached) == "1"
-	crashes, _ := strconv.ParseUint(h.Get(mesh.HeaderCrashes), 10, 8) // absent means none
-	a.crashes = uint8(crashes)
-	micros, _ := strconv.ParseInt(h.Get(headerDuration), 10, 64) // absent means unknown
-	a.duration = time.Duration(micros) * time.Microsecond
-	a.load, a.hasLoad = parseLoad(h.Get(mesh.HeaderLoad))
+	fields := strings.Split(h.Get(headerResult), separator)
 	for name := range h {
 		if strings.HasPrefix(name, headerPrefix) {
 			delete(h, name)
 		}
 	}
-	return a, true
-}
-
-func formatLoad(l mesh.Load) string {
-	return strconv.Itoa(int(l.Slots)) + "/" + strconv.Itoa(int(l.InUse)) + "/" + strconv.Itoa(int(l.Queued))
-}
-
-func parseLoad(text string) (mesh.Load, bool) {
-	parts := strings.Split(text, "/")
-	if len(parts) != 3 {
-		return mesh.Load{}, false
+	if len(fields) != resultFields {
+		return gateAnswer{}, false
 	}
-	var numbers [3]uint16
-	for i, p := range parts {
-		v, err := strconv.ParseUint(p, 10, 16)
+	var numbers [resultFields]uint64
+	for i, field := range fields {
+		v, err := strconv.ParseUint(field, 10, 32)
 		if err != nil {
-			return mesh.Load{}, false
+			return gateAnswer{}, false
 		}
-		numbers[i] = uint16(v)
+		numbers[i] = v
+	}
+	a := gateAnswer{
+		outcome: mesh.Outcome(numbers[0]), reason: mesh.Reason(numbers[1]), crashes: uint8(numbers[3]),
+		duration: time.Duration(numbers[4]) * time.Microsecond,
+		load:     mesh.Load{Slots: uint16(numbers[5]), InUse: uint16(numbers[6]), Queued: uint16(numbers[7])},
 	}
-	return mesh.Load{Slots: numbers[0], InUse: numbers[1], Queued: numbers[2]}, true
+	a.reached, a.hasLoad, _ = parseFlags(fields[2]) // read as a number above
+	known := a.outcome == mesh.Answered || a.outcome == mesh.NotRun || a.outcome == mesh.MayHaveRun
+	return a, known
 }
--- /dev/null
+++ b/internal/sidecar/headers_test.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const testNow = mesh.Time(time.Hour)
+
+// Guards against a gate that decides on other values than its entry node sent.
+func TestForwardedRoundTrip(t *testing.T) {
+	is := is.New(t)
+	in := forwarded{
+		instance: "i-1", route: "r", rank: 2, deadline: testNow.Add(time.Second), leftToTarget: -20 * time.Millisecond,
+		mayQueue: true, print: 1 << 63, crashes: 1,
+	}
+	r := httptest.NewRequest(http.MethodGet, "/x?y=1", nil)
+	in.encode(r.Header, testNow)
+	out, ok := decodeForwarded(r, nil, testNow)
+	is.True(ok)
+	is.Equal(out.target, "/x?y=1")
+	is.Equal(len(out.header), 0) // headers between nodes never reach the instance
+	in.method, in.target, in.host, in.header = out.method, out.target, out.host, out.header
+	is.Equal(out, in)
+}
+
+// Guards against an answer without a gate's result that is taken for one.
+func TestGateAnswerRoundTrip(t *testing.T) {
+	is := is.New(t)
+	in := gateAnswer{
+		outcome: mesh.NotRun, reason: mesh.ReasonOverload, reached: true, crashes: 1, duration: 3 * time.Millisecond,
+		load: mesh.Load{Slots: 9, InUse: 8, Queued: 7}, hasLoad: true,
+	}
+	h := http.Header{"X-Other": {"1"}}
+	in.encode(h)
+	out, ok := decodeGateAnswer(h)
+	is.True(ok)
+	is.Equal(out, in)
+	is.Equal(len(h), 1)
+	for _, text := range []string{"", "1", "0;0;0;0;0;0;0;0", "1;0;0;0;x;0;0;0"} {
+		_, ok := decodeGateAnswer(http.Header{headerResult: {text}})
+		is.True(!ok)
+	}
+}
+
+// Guards against headers of one connection, or of nodes, that a client passes on
+// to the instance.
+func TestForwardHeaderDropsHopHeaders(t *testing.T) {
+	is := is.New(t)
+	h := forwardHeader(http.Header{
+		"Connection": {"X-Private"}, "X-Private": {"1"}, "Keep-Alive": {"1"}, "Transfer-Encoding": {"chunked"}, "Te": {"trailers"},
+		headerCall: {"x"}, "Accept": {"*/*"},
+	})
+	is.Equal(h, http.Header{"Accept": {"*/*"}})
+}
+
+// FuzzDecodeForwarded feeds arbitrary values of the header between nodes.
+func FuzzDecodeForwarded(f *testing.F) {
+	f.Add("i;r;1;1000;300;a;0;1")
+	f.Add(";;;;;;;")
+	f.Fuzz(func(t *testing.T, text string) {
+		r := httptest.NewRequest(http.MethodGet, "/x", nil)
+		r.Header[headerCall] = []string{text}
+		if f, ok := decodeForwarded(r, nil, testNow); ok && f.deadline < testNow.Add(-30*24*time.Hour) {
+			t.Fatalf("deadline %v", f.deadline)
+		}
+	})
+}
+
+// FuzzDecodeGateAnswer feeds arbitrary values of the result header.
+func FuzzDecodeGateAnswer(f *testing.F) {
+	f.Add("1;0;3;0;1000;9;8;7")
+	f.Fuzz(func(t *testing.T, text string) {
+		a, ok := decodeGateAnswer(http.Header{headerResult: {text}})
+		if ok && a.outcome.String() == "unknown" {
+			t.Fatalf("outcome %d", a.outcome)
+		}
+	})
+}
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -44,10 +44,11 @@
 	Deleted bool
 }
 
-// Write is a row to be put into a table.
+// Write is a row to be put into a table or, with Delete, removed from it.
 type Write struct {
 	Table Table
 	platform.Put
+	Delete bool
 }
 
 // Store is the platform's transactional table. Revisions come from one counter
--- a/internal/sidecar/publish.go
+++ b/internal/sidecar/publish.go
@@ -8,6 +8,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
@@ -48,13 +49,13 @@
 	}
 	key := memberPrefix + string(self.Host)
 	present := n.replicas[TableShared].row(key)
-	if present.Revision == 0 && n.replicas[TableShared].at() == 0 {
+	if !n.replicas[TableShared].isLoaded() {
 		return ErrStore.New("the table is not loaded yet")
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	revision, conflict, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: present.Revision},
-		[]Write{{TableShared, platform.Put{Key: key, Value: value}}})
+		[]Write{{Table: TableShared, Put: platform.Put{Key: key, Value: value}}})
 	switch {
 	case err == nil:
 		n.keep(platform.Row{Key: key, Value: value, Revision: revision})
@@ -110,7 +111,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	revision, conflict, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: platform.Revision(w.Expect)},
-		[]Write{{TableShared, platform.Put{Key: key, Value: value}}, {TableStatus, status}})
+		[]Write{{Table: TableShared, Put: platform.Put{Key: key, Value: value}}, {Table: TableStatus, Put: status}})
 	switch {
 	case err == nil:
 		n.keep(platform.Row{Key: key, Value: value, Revision: revision})
@@ -119,3 +120,17 @@
 	}
 	return err
 }
+
+// removeRow removes the row of a host that is gone, unless it has changed.
+func (n *Node) removeRow(ctx context.Context, host mesh.HostID) {
+	key := memberPrefix + string(host)
+	present := n.replicas[TableShared].row(key)
+	if present.Revision == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	_, _, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: present.Revision},
+		[]Write{{Table: TableShared, Put: platform.Put{Key: key}, Delete: true}})
+	n.log.Line(time.Now(), "member.row_removed", "about", string(host), "error", errorText(err))
+}
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -112,5 +112,5 @@
 
 // loaded reports whether all tables were read since the start.
 func (n *Node) loaded() bool {
-	return n.replicas[TableOperator].at() > 0 && n.replicas[TableShared].at() > 0
+	return n.replicas[TableOperator].isLoaded() && n.replicas[TableShared].isLoaded()
 }
--- a/internal/sidecar/replica.go
+++ b/internal/sidecar/replica.go
@@ -14,6 +14,9 @@
 	mu       sync.Mutex
 	rows     map[string]Change // deleted rows included
 	revision platform.Revision // the copy is complete up to it
+	// loaded is set once the whole table was read. The revision of an empty store
+	// is zero, so it cannot tell.
+	loaded bool
 }
 
 func newReplica() *replica { return &replica{rows: make(map[string]Change)} }
@@ -53,6 +56,19 @@
 	return out, r.revision
 }
 
+// setLoaded marks the copy as complete.
+func (r *replica) setLoaded() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.loaded = true
+}
+
+func (r *replica) isLoaded() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded
+}
+
 // at returns the revision that the copy is complete up to.
 func (r *replica) at() platform.Revision {
 	r.mu.Lock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -136,6 +136,9 @@
 	for i := range n.out.Writes {
 		n.queueRollout(n.out.Writes[i])
 	}
+	for _, host := range n.out.Removals {
+		go n.removeRow(context.Background(), host)
+	}
 	if n.out.Announce {
 		signal(n.announced)
 	}
