--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"encoding/binary"
 	"maps"
 	"slices"
@@ -36,6 +37,8 @@
 	PeerAddr    string             `json:"peer"`
 	Incarnation mesh.Incarnation   `json:"incarnation"`
 	Sequence    uint64             `json:"sequence"`
+	// LinkMbps is the bandwidth of the host.
+	LinkMbps int `json:"link_mbps,omitempty"`
 	// Leaving is set while the node stops.
 	Leaving  bool            `json:"leaving,omitempty"`
 	Instance *MemberInstance `json:"instance,omitempty"`
@@ -305,22 +308,19 @@
 const nodesPerReader = 25
 
 // Reader returns the node of this failure domain that this node follows, and
-// whether it is to read the store itself.
+// whether it is to read the store itself. The hosts with the largest links read,
+// since each sends what it has read to all its followers.
 func (n *Node) Reader() (reader Member, self bool) {
 	var nodes []Member
-	own := 0
 	for _, host := range slices.Sorted(maps.Keys(n.members)) {
-		m := n.members[host]
-		if m.Domain != n.settings.Domain || !m.reachable || m.Leaving {
-			continue
-		}
-		if host == n.settings.Host {
-			own = len(nodes)
+		if m := n.members[host]; m.Domain == n.settings.Domain && m.reachable && !m.Leaving {
+			nodes = append(nodes, m.Member)
 		}
-		nodes = append(nodes, m.Member)
 	}
+	slices.SortStableFunc(nodes, func(a, b Member) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
+	own := slices.IndexFunc(nodes, func(m Member) bool { return m.Host == n.settings.Host })
 	readers := 1 + len(nodes)/nodesPerReader
-	if own < readers || len(nodes) == 0 {
+	if own < readers {
 		return Member{}, true
 	}
 	return nodes[own%readers], false
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -25,6 +25,8 @@
 	// one, for requests and for exchanges of state.
 	ForwardAddr string
 	PeerAddr    string
+	// LinkMbps is the bandwidth of the host.
+	LinkMbps int
 	// Service is the service whose instance runs on this host.
 	Service     mesh.Service
 	Incarnation mesh.Incarnation
@@ -89,7 +91,7 @@
 	}
 	n.self = Member{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr,
-		Incarnation: s.Incarnation, Sequence: 1,
+		LinkMbps: s.LinkMbps, Incarnation: s.Incarnation, Sequence: 1,
 	}
 	n.members[s.Host] = &member{Member: n.self, reachable: true}
 	return n
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -304,6 +304,11 @@
 	other.Step(start, 1, PeerChecked{Host: "h1", Alive: false}, &out)
 	reader, _ = other.Reader()
 	is.Equal(string(reader.Host), "h2") // the next one takes its place
+	wide := remote("h7", "i7", 1)
+	wide.LinkMbps = 200
+	other.Step(start, 1, MembersSeen{[]Member{wide}}, &out)
+	reader, _ = other.Reader()
+	is.Equal(string(reader.Host), "h7") // a reader sends to all its followers
 }
 
 // Guards against rows of replaced hosts that pile up in the store, and against
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -27,6 +27,9 @@
 	storeTimeout = 700 * time.Millisecond
 	// storeBackoff is the pause after a failure of the store, with jitter.
 	storeBackoff = 300 * time.Millisecond
+	// sharedPause is the pause after changes of the shared rows, so that the rows
+	// of many hosts that start together come in few calls.
+	sharedPause = 100 * time.Millisecond
 	// memberPrefix and rolloutPrefix start the keys of the rows of TableShared.
 	memberPrefix  = "member/"
 	rolloutPrefix = "rollout/"
@@ -67,8 +70,11 @@
 			alive = err == nil
 			n.log.Event("store.table", "table", int(t), "alive", alive, "cause", errorText(err))
 		}
-		if err != nil {
+		switch {
+		case err != nil:
 			pause(ctx, storeBackoff/2+rand.N(storeBackoff))
+		case t == TableShared:
+			pause(ctx, sharedPause)
 		}
 	}
 }
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -44,8 +44,8 @@
 type News struct {
 	Self     proxy.Member
 	Members  []proxy.Member
-	Operator []Change
-	Shared   []Change
+	Operator []Packed
+	Shared   []Packed
 	// OperatorAt and SharedAt are the revisions that the changes are complete up to.
 	OperatorAt platform.Revision
 	SharedAt   platform.Revision
@@ -69,9 +69,12 @@
 		}
 		out.Poison, out.StoreAlive = r.PoisonEntries(n.now()), r.StoreAlive()
 	})
-	out.Operator, out.OperatorAt = n.replicas[TableOperator].since(d.Operator)
-	out.Shared, out.SharedAt = n.replicas[TableShared].since(d.Shared)
-	return nil
+	var err error
+	if out.Operator, out.OperatorAt, err = n.replicas[TableOperator].since(d.Operator); err != nil {
+		return err
+	}
+	out.Shared, out.SharedAt, err = n.replicas[TableShared].since(d.Shared)
+	return err
 }
 
 // Evidence takes in the counts of a gate.
@@ -130,8 +133,16 @@
 	}
 	n.step(proxy.MembersSeen{Members: append(news.Members, news.Self)})
 	n.step(proxy.PoisonSeen{Entries: news.Poison})
-	n.take(TableOperator, news.Operator, news.OperatorAt)
-	n.take(TableShared, news.Shared, news.SharedAt)
+	operator, err := unpackAll(news.Operator)
+	if err != nil {
+		return news, err
+	}
+	shared, err := unpackAll(news.Shared)
+	if err != nil {
+		return news, err
+	}
+	n.take(TableOperator, operator, news.OperatorAt)
+	n.take(TableShared, shared, news.SharedAt)
 	return news, nil
 }
 
--- a/internal/sidecar/publish.go
+++ b/internal/sidecar/publish.go
@@ -17,6 +17,9 @@
 const (
 	// announceInterval is the least time between two writes of this host's row.
 	announceInterval = 100 * time.Millisecond
+	// firstAnnounce is the time that a new process waits for its instance before
+	// it writes its row, so that most hosts write one row and not two.
+	firstAnnounce = 1200 * time.Millisecond
 	// commitTimeout bounds the answer to a write.
 	commitTimeout = 900 * time.Millisecond
 	// rolloutQueue bounds the roll-out rows that wait to be written.
@@ -25,6 +28,13 @@
 
 // announce keeps this host's row in the store at its present state.
 func (n *Node) announce(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+	case <-n.announced: // the instance has reported
+		signal(n.announced)
+	case <-time.After(firstAnnounce):
+		signal(n.announced)
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/sidecar/replica.go
+++ b/internal/sidecar/replica.go
@@ -13,13 +13,16 @@
 type replica struct {
 	mu       sync.Mutex
 	rows     map[string]Change // deleted rows included
+	packed   map[string]Packed // rows as peers get them, made when first asked for
 	revision platform.Revision // the copy is complete up to it
 	// loaded is set once the whole table was read. The revision of an empty store
 	// is zero, so it cannot tell.
 	loaded bool
 }
 
-func newReplica() *replica { return &replica{rows: make(map[string]Change)} }
+func newReplica() *replica {
+	return &replica{rows: make(map[string]Change), packed: make(map[string]Packed)}
+}
 
 // apply takes in changes up to a revision and returns those that were news, in
 // the order of their revisions.
@@ -41,19 +44,28 @@
 
 // since returns the changes after a revision, and the revision that the copy is
 // complete up to.
-func (r *replica) since(after platform.Revision) ([]Change, platform.Revision) {
+func (r *replica) since(after platform.Revision) ([]Packed, platform.Revision, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if after >= r.revision {
-		return nil, r.revision
+		return nil, r.revision, nil
 	}
-	var out []Change
-	for _, c := range r.rows {
-		if c.Revision > after {
-			out = append(out, c)
+	var out []Packed
+	for key, c := range r.rows {
+		if c.Revision <= after {
+			continue
+		}
+		p, ok := r.packed[key]
+		if !ok || p.Revision != c.Revision {
+			var err error
+			if p, err = pack(c); err != nil {
+				return nil, r.revision, err
+			}
+			r.packed[key] = p
 		}
+		out = append(out, p)
 	}
-	return out, r.revision
+	return out, r.revision, nil
 }
 
 // setLoaded marks the copy as complete.
--- a/internal/sidecar/replica_test.go
+++ b/internal/sidecar/replica_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"testing"
 
 	"github.com/matryer/is"
@@ -30,11 +31,42 @@
 	is := is.New(t)
 	r := newReplica()
 	r.apply([]Change{changed("a", 5, false), changed("b", 7, true)}, 9)
-	changes, at := r.since(5)
+	packed, at, err := r.since(5)
+	is.NoErr(err)
+	changes, err := unpackAll(packed)
+	is.NoErr(err)
 	is.Equal(changes, []Change{changed("b", 7, true)})
 	is.Equal(at, platform.Revision(9))
-	changes, _ = r.since(9)
-	is.Equal(len(changes), 0)
+	packed, _, err = r.since(9)
+	is.NoErr(err)
+	is.Equal(len(packed), 0)
+}
+
+// Guards against a configuration that fills the links of small hosts, and against
+// rows that are damaged on the way.
+func TestPackCompressesLargeRows(t *testing.T) {
+	is := is.New(t)
+	large := Change{Row: platform.Row{Key: "config", Revision: 4, Value: bytes.Repeat([]byte(`{"Host":"a.example","Prefix":"/x/"},`), 4000)}}
+	p, err := pack(large)
+	is.NoErr(err)
+	is.True(len(p.Value) < len(large.Value)/10)
+	c, err := unpack(p)
+	is.NoErr(err)
+	is.Equal(c, large)
+	p.Value = p.Value[:len(p.Value)/2]
+	_, err = unpack(p)
+	is.True(err != nil)
+}
+
+// Guards against a decoder of rows that fails on bytes of a faulty peer.
+func FuzzUnpack(f *testing.F) {
+	f.Add([]byte("text"), true)
+	f.Fuzz(func(t *testing.T, value []byte, compressed bool) {
+		c, err := unpack(Packed{Value: value, Compressed: compressed})
+		if err == nil && len(c.Value) > maxRowBytes && compressed {
+			t.Fatalf("%d bytes", len(c.Value))
+		}
+	})
 }
 
 // Guards against a node that takes an empty store, whose revision is zero, for
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -32,6 +32,8 @@
 	GracePeriod time.Duration
 	// Repeats is the budget for repeated attempts over all nodes.
 	Repeats retry.WindowBudget
+	// LinkMbps is the bandwidth of the host.
+	LinkMbps int
 	// Descriptors and MemoryBytes are the limits of the process.
 	Descriptors int
 	MemoryBytes int64
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -78,7 +78,7 @@
 	n.replicas = [2]*replica{newReplica(), newReplica()}
 	n.peers = newPeerSet(n)
 	n.reducer = proxy.New(n.now(), proxy.Settings{
-		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr, Service: s.Service,
+		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr, LinkMbps: s.LinkMbps, Service: s.Service,
 		Incarnation: mesh.Incarnation(n.epoch), Repeats: s.Repeats,
 	})
 	var err error
@@ -218,7 +218,6 @@
 	go n.follow(ctx, TableOperator)
 	go n.follow(ctx, TableShared)
 	go n.followReader(ctx)
-	signal(n.announced)
 	go n.announce(ctx)
 	go n.writeRollouts(ctx)
 	go n.gossip(ctx)
