--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -255,7 +255,11 @@
 	}
 	// An attempt that no instance has seen costs nothing; any other draws on the
 	// budget.
-	if e.Reached && !n.repeat(s, c, retry.PartLost) {
+	part := retry.PartLost
+	if e.Outcome == mesh.NotRun {
+		part = retry.PartRefused
+	}
+	if e.Reached && !n.repeat(s, c, part) {
 		n.finish(s, c, mesh.ReasonRetryBudget)
 		return
 	}
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -37,6 +37,9 @@
 	slots    uint16
 	born     int64
 	sequence int64
+	// adopted is set while the instance is known from an earlier process of this
+	// node only.
+	adopted  bool
 	draining bool
 	left     bool
 	down     bool
@@ -184,6 +187,9 @@
 		return
 	}
 	n.counters.HeartbeatsTaken++
+	if l.adopted && l.id == e.ID {
+		l.born, l.adopted = e.Born, false
+	}
 	fresh := l.id != e.ID || l.born != e.Born
 	if fresh {
 		if l.id != "" {
@@ -203,6 +209,18 @@
 	}
 }
 
+// adopt takes over the instance that an earlier process of this node has
+// announced, so that requests need not wait for its next heartbeat. If another
+// instance holds the address by now, it refuses the requests.
+func (n *Node) adopt(s *step, i *MemberInstance) {
+	if i == nil || i.Closed || n.local.id != "" || n.settings.Service != "" && i.Service != n.settings.Service {
+		return
+	}
+	n.local = localInstance{id: i.ID, service: i.Service, version: i.Version, slots: max(i.Slots, 1), adopted: true}
+	n.gateOut = n.gate.SetInstance(s.now, admission.Instance{ID: i.ID, Slots: n.local.slots}, n.gateOut)
+	s.record("instance.adopted", "instance", string(i.ID), "service", string(i.Service), "version", string(i.Version), "slots", i.Slots)
+}
+
 // acceptsReport tells a heartbeat of the present instance, or of its successor,
 // from one that is late or names no instance of this host.
 func (n *Node) acceptsReport(e *InstanceReported) bool {
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -146,13 +146,19 @@
 	return string(m.Instance.ID)
 }
 
-// raise moves this host's incarnation past a record of an earlier process. The
-// time of day that incarnations start from may have been set back since.
+// raise takes in a record of this host by an earlier process: it adopts the
+// instance and moves the own incarnation past that of the record, since the time
+// of day that incarnations start from may have been set back.
 func (n *Node) raise(s *step, m *Member) {
-	if m.Incarnation < n.self.Incarnation || m.Incarnation == n.self.Incarnation && m.Sequence <= n.self.Sequence {
+	if m.Incarnation == n.self.Incarnation && m.Sequence <= n.self.Sequence {
 		return
 	}
-	n.self.Incarnation = m.Incarnation + 1
+	known := n.local.id
+	n.adopt(s, m.Instance)
+	if m.Incarnation < n.self.Incarnation && n.local.id == known {
+		return
+	}
+	n.self.Incarnation = max(n.self.Incarnation, m.Incarnation+1)
 	n.announceSelf(s)
 }
 
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -24,8 +24,11 @@
 // Parts of the budget that a node uses up, by the cause of the repeat. The rest
 // covers the calls that repeated requests make again at other services.
 const (
-	// PartLost is for requests that were lost or refused by an instance.
-	PartLost = 0.45
+	// PartRefused is for requests that an instance has refused without running
+	// them: these have made no calls.
+	PartRefused = 0.65
+	// PartLost is for requests that may have run.
+	PartLost = 0.3
 	// PartFailed is for answers that state a failure. A failure that comes from an
 	// overloaded service further on would be multiplied by repeats.
 	PartFailed = 0.2
--- a/internal/sidecar/log.go
+++ b/internal/sidecar/log.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,10 +16,16 @@
 	// linesPerKind bounds the lines of one kind in each second. More than that
 	// tells no more about a fault and costs processor time when it is scarcest.
 	linesPerKind = 40
+	// callLines is the same for the ends of requests, which answer a user's
+	// complaint.
+	callLines = 150
 	// logQueue bounds the lines that wait for the output.
 	logQueue = 512
 )
 
+// callPrefix starts the kinds of lines about the end of a request.
+const callPrefix = "call."
+
 // Log writes structured lines without ever blocking its callers. Lines over the
 // limit of their kind, and those that find the queue full, are counted and
 // dropped.
@@ -77,7 +84,11 @@
 		clear(l.counts)
 	}
 	l.counts[kind]++
-	if l.counts[kind] <= linesPerKind {
+	limit := linesPerKind
+	if strings.HasPrefix(kind, callPrefix) {
+		limit = callLines
+	}
+	if l.counts[kind] <= limit {
 		return true
 	}
 	l.left[kind]++
