--- /dev/null
+++ b/internal/egress/egress_test.go
@@ -0,0 +1,91 @@
+package egress
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func flush() error { return nil }
+
+// Guards against large answers that fill the link: they stay below its rate,
+// and none is damaged.
+func TestLargeAnswersStayBelowTheRate(t *testing.T) {
+	is := is.New(t)
+	l := NewLink(8) // 0.8 MB/s for large answers
+	body := bytes.Repeat([]byte("x1"), 40<<10)
+	began := time.Now()
+	var wg sync.WaitGroup
+	var outs [2]bytes.Buffer
+	for i := range outs {
+		wg.Go(func() { is.NoErr(l.Send(context.Background(), &outs[i], body, flush)) })
+	}
+	wg.Wait()
+	is.True(time.Since(began) >= 180*time.Millisecond) // 160 KB
+	for i := range outs {
+		is.Equal(outs[i].Bytes(), body)
+	}
+	is.Equal(l.Backlog() < 20*time.Millisecond, true)
+}
+
+// Guards against small answers that wait behind large ones, and against an
+// answer that waits behind a larger one.
+func TestSmallerAnswersGoFirst(t *testing.T) {
+	is := is.New(t)
+	l := NewLink(8)
+	var mu sync.Mutex
+	var order []int
+	var wg sync.WaitGroup
+	start := make(chan struct{})
+	for _, size := range []int{400 << 10, 30 << 10} {
+		wg.Go(func() {
+			if size == 30<<10 {
+				<-start
+			}
+			var out bytes.Buffer
+			is.NoErr(l.Send(context.Background(), &out, make([]byte, size), flush))
+			mu.Lock()
+			order = append(order, size)
+			mu.Unlock()
+		})
+	}
+	for l.Backlog() == 0 {
+		time.Sleep(time.Millisecond) // until the first answer is on its way
+	}
+	began := time.Now()
+	is.NoErr(l.Send(context.Background(), &bytes.Buffer{}, make([]byte, 1000), flush))
+	is.True(time.Since(began) < 50*time.Millisecond)
+	close(start)
+	wg.Wait()
+	is.Equal(order, []int{30 << 10, 400 << 10})
+}
+
+// Guards against a link that stays taken by an answer whose client has gone.
+func TestAbandonedAnswerFreesTheLink(t *testing.T) {
+	is := is.New(t)
+	l := NewLink(1)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for range 3 {
+		wg.Go(func() { _ = l.Send(ctx, &bytes.Buffer{}, make([]byte, 1<<20), flush) })
+	}
+	for l.Backlog() == 0 {
+		time.Sleep(time.Millisecond) // until they wait
+	}
+	cancel()
+	wg.Wait()
+	done := make(chan error, 1)
+	go func() {
+		done <- l.Send(context.Background(), &bytes.Buffer{}, make([]byte, largeBytes), flush)
+	}()
+	select {
+	case err := <-done:
+		is.NoErr(err)
+	case <-time.After(5 * time.Second):
+		t.Fatal("the link is taken")
+	}
+}
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -11,6 +11,7 @@
 	"slices"
 	"time"
 
+	"github.com/chicoryscale/chicoryscale/internal/egress"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/random"
 	"github.com/chicoryscale/chicoryscale/internal/routing"
@@ -89,6 +90,9 @@
 	// both are valid when Served is set and Failed is not.
 	Duration time.Duration
 	Bytes    int
+	// Backlog is the time that large answers wait for the host's link, valid when
+	// HasLoad is set.
+	Backlog time.Duration
 	// Load is the gate's load, valid when HasLoad is set.
 	Load    mesh.Load
 	HasLoad bool
@@ -128,6 +132,7 @@
 	routing.Instance
 	inFlight   int // requests of this node
 	others     float64
+	backlog    time.Duration
 	reportedAt mesh.Time
 	slowness   average // duration relative to the route's mean
 	failures   average // share of failures
@@ -144,8 +149,12 @@
 // load estimates the requests at the instance, those of other nodes by the last
 // report.
 func (i *instance) load(now mesh.Time) float64 {
-	age := float64(now.Sub(i.reportedAt)) / float64(loadLifetime)
-	return float64(i.inFlight) + i.others*max(0, 1-age)
+	return float64(i.inFlight) + i.others*i.freshness(now)
+}
+
+// freshness falls from one to zero over the lifetime of a report.
+func (i *instance) freshness(now mesh.Time) float64 {
+	return max(0, 1-float64(now.Sub(i.reportedAt))/float64(loadLifetime))
 }
 
 // route holds the averages over all instances for one route.
@@ -303,7 +312,11 @@
 		factor = onceFailureCost
 	}
 	failure := inst.failures.get(now) * factor * typical
-	return wait + typical*speed + failure + t.away(inst, r)
+	link := 0.0
+	if egress.Large(int(r.bytes.value)) {
+		link = float64(inst.backlog) * inst.freshness(now)
+	}
+	return wait + typical*speed + failure + link + t.away(inst, r)
 }
 
 // away returns the cost of leaving the failure domain for an answer of a route.
@@ -335,7 +348,7 @@
 	inst.inFlight = max(0, inst.inFlight-1)
 	if res.HasLoad {
 		inst.others = max(0, float64(int(res.Load.InUse)+int(res.Load.Queued)-inst.inFlight))
-		inst.reportedAt = now
+		inst.reportedAt, inst.backlog = now, res.Backlog
 	}
 	if res.Draining {
 		inst.avoidUntil = now.Add(drainPause)
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -194,7 +194,7 @@
 	c.sent = false
 	n.table.Done(s.now, c.to, placement.Result{
 		Served: e.Outcome == mesh.Answered, Failed: e.Failed || e.Outcome == mesh.MayHaveRun || e.Outcome == mesh.NotRun && e.Reached,
-		Draining: e.Reason == mesh.ReasonDraining, Duration: e.Duration, Bytes: e.Bytes, Load: e.Load, HasLoad: e.HasLoad,
+		Draining: e.Reason == mesh.ReasonDraining, Duration: e.Duration, Bytes: e.Bytes, Backlog: e.Backlog, Load: e.Load, HasLoad: e.HasLoad,
 	})
 	if e.HostFailed {
 		n.hostFailed(s, c.to.Host)
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -42,6 +42,8 @@
 	// Duration is the time that the instance took, Bytes the size of its answer.
 	Duration time.Duration
 	Bytes    int
+	// Backlog is the time that large answers wait for the gate's link.
+	Backlog time.Duration
 	// Load is the gate's load, valid when HasLoad is set.
 	Load    mesh.Load
 	HasLoad bool
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -41,6 +41,7 @@
 	hostFailed bool
 	crashes    uint8
 	duration   time.Duration // time that the instance took
+	backlog    time.Duration // of large answers on the host's link
 	load       mesh.Load
 	hasLoad    bool
 	response   *upstream.Response // set for Answered
@@ -117,6 +118,7 @@
 			w.Header()[name] = nil // keeps net/http from adding it
 		}
 	}
+	a.backlog = n.link.Backlog()
 	a.encode(w.Header())
 	var content []byte
 	if a.response != nil {
@@ -124,7 +126,7 @@
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	w.WriteHeader(status)
-	if _, err := w.Write(content); err != nil {
+	if err := n.link.Send(r.Context(), w, content, http.NewResponseController(w).Flush); err != nil {
 		n.log.Line(time.Now(), "gate.write_failed", "remote", r.RemoteAddr, "error", err.Error())
 	}
 }
--- a/internal/sidecar/headers_test.go
+++ b/internal/sidecar/headers_test.go
@@ -34,7 +34,7 @@
 func TestGateAnswerRoundTrip(t *testing.T) {
 	is := is.New(t)
 	in := gateAnswer{
-		outcome: mesh.NotRun, reason: mesh.ReasonOverload, reached: true, crashes: 1, duration: 3 * time.Millisecond,
+		outcome: mesh.NotRun, reason: mesh.ReasonOverload, reached: true, crashes: 1, duration: 3 * time.Millisecond, backlog: 70 * time.Millisecond,
 		load: mesh.Load{Slots: 9, InUse: 8, Queued: 7}, hasLoad: true,
 	}
 	h := http.Header{"X-Other": {"1"}}
@@ -43,7 +43,7 @@
 	is.True(ok)
 	is.Equal(out, in)
 	is.Equal(len(h), 1)
-	for _, text := range []string{"", "1", "0;0;0;0;0;0;0;0", "1;0;0;0;x;0;0;0"} {
+	for _, text := range []string{"", "1", "0;0;0;0;0;0;0;0;0", "1;0;0;0;x;0;0;0;0"} {
 		_, ok := decodeGateAnswer(http.Header{headerResult: {text}})
 		is.True(!ok)
 	}
@@ -75,7 +75,7 @@
 
 // FuzzDecodeGateAnswer feeds arbitrary values of the result header.
 func FuzzDecodeGateAnswer(f *testing.F) {
-	f.Add("1;0;3;0;1000;9;8;7")
+	f.Add("1;0;3;0;1000;9;8;7;0")
 	f.Fuzz(func(t *testing.T, text string) {
 		a, ok := decodeGateAnswer(http.Header{headerResult: {text}})
 		if ok && a.outcome.String() == "unknown" {
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -147,7 +147,7 @@
 	}
 	n.step(proxy.AttemptDone{
 		Call: r.id, Attempt: e.Attempt, Outcome: a.outcome, Reason: a.reason, Failed: a.failed(), Reached: a.reached,
-		HostFailed: a.hostFailed, Crashes: a.crashes, Duration: a.duration, Bytes: a.bytes(), Load: a.load, HasLoad: a.hasLoad,
+		HostFailed: a.hostFailed, Crashes: a.crashes, Duration: a.duration, Bytes: a.bytes(), Backlog: a.backlog, Load: a.load, HasLoad: a.hasLoad,
 	})
 }
 
@@ -166,7 +166,7 @@
 	}
 	header.Set("Content-Length", strconv.Itoa(len(resp.Body)))
 	w.WriteHeader(resp.Status)
-	if _, err := w.Write(resp.Body); err != nil {
+	if err := r.node.link.Send(r.http.Context(), w, resp.Body, http.NewResponseController(w).Flush); err != nil {
 		r.node.log.Line(time.Now(), "call.write_failed", "call", uint64(r.id), "error", err.Error())
 	}
 	return resp.Status
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chicoryscale/chicoryscale/internal/egress"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 	"github.com/chicoryscale/chicoryscale/internal/upstream"
@@ -58,6 +59,7 @@
 	hosts    map[string]*upstream.Pool // by forward address
 	hostOpts upstream.Options
 	instance *upstream.Pool
+	link     *egress.Link
 
 	lastCall  atomic.Int64 // time of the last request of a client, in ns since the start
 	inFlight  atomic.Int64
@@ -74,6 +76,7 @@
 	}
 	n.epoch = mesh.Time(n.started.UnixNano())
 	n.hostOpts = hostOptions()
+	n.link = egress.NewLink(s.LinkMbps)
 	n.instance = upstream.NewPool(s.InstanceAddr, instanceOptions(n.headers.Identity))
 	n.replicas = [2]*replica{newReplica(), newReplica()}
 	n.peers = newPeerSet(n)
