--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -27,6 +27,11 @@
 	ReadyAddr   string
 	MetricsAddr string
 
+	// AdvertisedForward and AdvertisedPeer replace ForwardAddr and PeerAddr where
+	// other nodes reach the host by other addresses. Empty stands for no difference.
+	AdvertisedForward string
+	AdvertisedPeer    string
+
 	StoreAddr string
 	// GracePeriod is the time from the signal to stop to the end of the process.
 	GracePeriod time.Duration
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -3,6 +3,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -81,7 +82,8 @@
 	n.replicas = [2]*replica{newReplica(), newReplica()}
 	n.peers = newPeerSet(n)
 	n.reducer = proxy.New(n.now(), proxy.Settings{
-		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr, LinkMbps: s.LinkMbps, Service: s.Service,
+		Host: s.Host, Domain: s.Domain, ForwardAddr: cmp.Or(s.AdvertisedForward, s.ForwardAddr),
+		PeerAddr: cmp.Or(s.AdvertisedPeer, s.PeerAddr), LinkMbps: s.LinkMbps, Service: s.Service,
 		Incarnation: mesh.Incarnation(n.epoch), Repeats: s.Repeats,
 	})
 	var err error
