--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -16,6 +16,9 @@
 	// is full answers within a millisecond, so asking another costs little next
 	// to waiting for a slot.
 	maxPlacements = 5
+	// maxClosed bounds the gates that one call finds closed. After the end of a
+	// roll-out all instances of the old version close together.
+	maxClosed = 16
 	// probesBeforeQueue is the number of gates that are asked for a free slot
 	// before the call accepts to wait.
 	probesBeforeQueue = 2
@@ -45,6 +48,8 @@
 	sentAt     mesh.Time
 	to         placement.Choice
 	placements int
+	closed     int  // gates that took no request for their instance
+	queued     bool // the attempt in flight may wait for a slot
 	// runs counts the attempts that an instance may have run, reached those
 	// that were handed to an instance.
 	runs    int
@@ -143,7 +148,7 @@
 		n.finish(s, c, mesh.ReasonDeadline)
 		return
 	}
-	if c.placements >= maxPlacements {
+	if c.placements >= maxPlacements || c.closed >= maxClosed {
 		n.finish(s, c, c.reason)
 		return
 	}
@@ -156,7 +161,7 @@
 		return
 	}
 	m := n.members[choice.Host]
-	c.to, c.sent, c.sentAt = choice, true, s.now
+	c.to, c.sent, c.sentAt, c.queued = choice, true, s.now, mayQueue
 	c.attempt++
 	c.placements++
 	n.counters.Forwards++
@@ -239,11 +244,23 @@
 		n.place(s, c)
 		return
 	}
-	if e.Outcome == mesh.NotRun && e.Reason == mesh.ReasonOverload && !e.Reached {
+	unseen := e.Outcome == mesh.NotRun && !e.Reached
+	switch {
+	case unseen && e.Reason == mesh.ReasonOverload:
 		c.full = append(c.full, c.to.ID)
-	} else {
+	case unseen && e.Reason != mesh.ReasonDeadline:
+		c.placements--
+		c.closed++
+		fallthrough
+	default:
 		c.failed = append(c.failed, c.to.ID)
 	}
+	if unseen && c.queued && s.now > c.target {
+		// It has waited in vain and can only be late. The client learns it while
+		// there is time to come back.
+		n.finish(s, c, e.Reason)
+		return
+	}
 	if c.crashes >= poison.ConvictionCrashes {
 		c.runs = max(c.runs, 1) // the request has run before, under other identities
 		n.finish(s, c, mesh.ReasonPoison)
@@ -284,7 +301,7 @@
 	}
 	s.out.Calls = append(s.out.Calls, effect)
 	s.record("call.rejected", "call", uint64(c.id), "route", string(c.route.Name), "service", string(c.service),
-		"outcome", effect.Outcome.String(), "reason", reason.String(), "placements", c.placements, "runs", c.runs,
+		"outcome", effect.Outcome.String(), "reason", reason.String(), "placements", c.placements, "closed", c.closed, "runs", c.runs,
 		"last_host", string(c.to.Host), "last_instance", string(c.to.ID),
 		"waited_ms", s.now.Sub(c.arrived).Milliseconds(), "left_ms", c.deadline.Sub(s.now).Milliseconds(),
 		"config", uint64(n.config.Version), "retry_after_ms", effect.RetryAfter.Milliseconds())
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -350,3 +351,39 @@
 	other.step(MembersSeen{[]Member{closed}})
 	is.Equal(other.node.Self().Instance, nil) // one that drained is left alone
 }
+
+// Guards against a request that is refused because it has met only gates that
+// have just closed, as all those of the old version do after a roll-out.
+func TestClosedGatesDoNotUseUpACall(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t)
+	r.step(ConfigurationSeen{snapshot(t, 5)})
+	var list []Member
+	for i := range 12 {
+		name := strconv.Itoa(i)
+		list = append(list, remote(mesh.HostID("h1"+name), mesh.InstanceID("i"+name), 1))
+	}
+	r.step(MembersSeen{list})
+	e := r.call(1, "/read/1")
+	for range 11 {
+		is.Equal(e.Action, CallForward)
+		e = r.done(e, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonDraining})
+	}
+	is.Equal(e.Action, CallForward)
+}
+
+// Guards against a request that is held at one gate after the other until its
+// client has no time left to come back.
+func TestLateRequestIsNotQueuedAgain(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	e := r.call(1, "/read/1")
+	for range probesBeforeQueue {
+		e = r.done(e, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonOverload})
+	}
+	is.True(e.MayQueue)
+	r.now = r.now.Add(320 * ms) // past the target
+	e = r.done(e, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonOverload})
+	is.Equal(e.Action, CallReject)
+	is.True(e.RetryAfter > 0)
+}
