--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -90,6 +90,30 @@
 	return list
 }
 
+// recentTime is the age up to which a change of a member is told to a peer whose
+// members differ.
+const recentTime = 15 * time.Second
+
+// MembersFor returns what a peer needs that knows count members and differs: those
+// that changed a short time ago, or all of them for a peer that lacks many or if
+// full is set. With hundreds of hosts some record changes at any time, and a list
+// of all would fill the links of small hosts.
+func (n *Node) MembersFor(now mesh.Time, count int, full bool) []Member {
+	if full || 10*count < 9*len(n.members) {
+		return n.Members()
+	}
+	var list []Member
+	for _, host := range slices.Sorted(maps.Keys(n.members)) {
+		if m := n.members[host]; host == n.settings.Host || now.Sub(m.changedAt) < recentTime {
+			list = append(list, m.Member)
+		}
+	}
+	return list
+}
+
+// MembersCount returns the number of known hosts.
+func (n *Node) MembersCount() int { return len(n.members) }
+
 // Self returns the record of this host.
 func (n *Node) Self() Member { return n.self }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -387,3 +387,17 @@
 	is.Equal(e.Action, CallReject)
 	is.True(e.RetryAfter > 0)
 }
+
+// Guards against exchanges that carry all members of a large deployment whenever
+// one has changed, and against a new host that is told only of changes.
+func TestMembersForAPeer(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	r.now = r.now.Add(recentTime + ms)
+	changed := remote("h2", "i2", 2)
+	r.step(MembersSeen{[]Member{changed}})
+	list := r.node.MembersFor(r.now, 4, false)
+	is.Equal(len(list), 2) // the host itself and h2
+	is.Equal(len(r.node.MembersFor(r.now, 1, false)), 4)
+	is.Equal(len(r.node.MembersFor(r.now, 4, true)), 4)
+}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -25,6 +25,9 @@
 	// store is alive, and hurriedInterval while it is not.
 	exchangeInterval = 500 * time.Millisecond
 	hurriedInterval  = 150 * time.Millisecond
+	// fullListEvery is the mean number of exchanges between nodes with different
+	// members for each that tells all of them.
+	fullListEvery = 8
 	// peerTimeout bounds an exchange and the opening of its connection.
 	peerTimeout = 400 * time.Millisecond
 )
@@ -36,6 +39,7 @@
 type Digest struct {
 	Self     proxy.Member
 	Known    uint64 // hash over the members
+	Count    int    // of members
 	Operator platform.Revision
 	Shared   platform.Revision
 }
@@ -65,7 +69,7 @@
 	n.inspect(func(r *proxy.Node) {
 		out.Self = r.Self()
 		if r.MembersDigest() != d.Known {
-			out.Members = r.Members()
+			out.Members = r.MembersFor(n.now(), d.Count, rand.N(fullListEvery) == 0)
 		}
 		out.Poison, out.StoreAlive = r.PoisonEntries(n.now()), r.StoreAlive()
 	})
@@ -127,7 +131,7 @@
 func (p *peerSet) ask(addr, method string, timeout time.Duration) (news News, err error) {
 	n := p.node
 	d := Digest{Operator: n.replicas[TableOperator].at(), Shared: n.replicas[TableShared].at()}
-	n.inspect(func(r *proxy.Node) { d.Self, d.Known = r.Self(), r.MembersDigest() })
+	n.inspect(func(r *proxy.Node) { d.Self, d.Known, d.Count = r.Self(), r.MembersDigest(), r.MembersCount() })
 	if err := p.call(addr, method, d, &news, timeout); err != nil {
 		return news, err
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -188,8 +188,10 @@
 	n.instance.Trim(now)
 	n.poolsMu.Lock()
 	defer n.poolsMu.Unlock()
-	for _, p := range n.hosts {
-		p.Trim(now)
+	for addr, p := range n.hosts {
+		if !p.Trim(now) {
+			delete(n.hosts, addr) // hosts are replaced all the time
+		}
 	}
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -223,8 +223,9 @@
 	p.open--
 }
 
-// Trim closes the idle connections that have outlived their time.
-func (p *Pool) Trim(now time.Time) {
+// Trim closes the idle connections that have outlived their time and reports
+// whether any connection is left.
+func (p *Pool) Trim(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	kept := p.idle[:0]
@@ -237,6 +238,7 @@
 		kept = append(kept, c)
 	}
 	p.idle = kept
+	return p.open > 0
 }
 
 // Close closes the idle connections. Those in use close when they are given back.
