--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"net/rpc"
@@ -150,11 +151,25 @@
 	return news, nil
 }
 
-// call makes one call. A connection that fails or stays silent is closed.
+// call makes one call. A connection that the peer has closed since the last call,
+// as each restart of it does, is replaced: nothing was sent on it, and the peer
+// isn't to be taken for dead.
 func (p *peerSet) call(addr, method string, args, reply any, timeout time.Duration) error {
+	err := p.callOnce(addr, method, args, reply, timeout)
+	if errors.Is(err, rpc.ErrShutdown) {
+		err = p.callOnce(addr, method, args, reply, timeout)
+	}
+	if err != nil {
+		return ErrPeer.Wrap(err, "%s at %s", method, addr)
+	}
+	return nil
+}
+
+// callOnce makes one call. A connection that fails or stays silent is closed.
+func (p *peerSet) callOnce(addr, method string, args, reply any, timeout time.Duration) error {
 	client, err := p.client(addr)
 	if err != nil {
-		return ErrPeer.Wrap(err, "dial %s", addr)
+		return err
 	}
 	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
 	timer := time.NewTimer(timeout)
@@ -167,9 +182,8 @@
 	}
 	if err != nil {
 		p.drop(addr, client)
-		return ErrPeer.Wrap(err, "%s at %s", method, addr)
 	}
-	return nil
+	return err
 }
 
 func (p *peerSet) client(addr string) (*rpc.Client, error) {
--- /dev/null
+++ b/internal/sidecar/peers_test.go
@@ -0,0 +1,44 @@
+package sidecar
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a peer that is taken for dead because it was restarted: the
+// connection of the last exchange is closed, a new one works.
+func TestExchangeSurvivesRestartOfThePeer(t *testing.T) {
+	is := is.New(t)
+	log := NewLog(io.Discard)
+	server, err := New(Settings{Host: "b", PeerAddr: "127.0.0.1:0"}, fakePlatform{}, log)
+	is.NoErr(err)
+	caller, err := New(Settings{Host: "a", PeerAddr: "a"}, fakePlatform{}, log)
+	is.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := l.Addr().String()
+	first := server.peerServer("peers", l)
+	ended := make(chan error, 1)
+	go func() { ended <- first.serve() }()
+	is.NoErr(caller.peers.exchange(addr))
+	is.NoErr(first.shutdown(t.Context()))
+	is.NoErr(<-ended)
+	l, err = net.Listen("tcp", addr)
+	is.NoErr(err)
+	second := server.peerServer("peers", l)
+	go func() { ended <- second.serve() }()
+	for client := caller.peers.clients[addr]; client.Call("none", 0, nil) == nil; {
+		time.Sleep(time.Millisecond) // until the close has arrived
+	}
+	is.NoErr(caller.peers.exchange(addr))
+	is.NoErr(second.shutdown(t.Context()))
+}
+
+// fakePlatform has headers and no store.
+type fakePlatform struct{ Platform }
+
+func (fakePlatform) Headers() *Headers { return &Headers{} }
