--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -50,10 +50,8 @@
 	placements int
 	closed     int  // gates that took no request for their instance
 	queued     bool // the attempt in flight may wait for a slot
-	// runs counts the attempts that an instance may have run, reached those
-	// that were handed to an instance.
-	runs    int
-	reached int
+	// runs counts the attempts that an instance may have run.
+	runs int
 	// full lists the instances whose gates had no slot, failed those that are
 	// not asked again.
 	full   []mesh.InstanceID
@@ -204,9 +202,6 @@
 	if e.HostFailed {
 		n.hostFailed(s, c.to.Host)
 	}
-	if e.Reached {
-		c.reached++
-	}
 	if e.Outcome != mesh.NotRun {
 		c.runs++
 	}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -139,7 +139,7 @@
 	Calls, Answered, NotRun, MayHaveRun, Cancelled  uint64
 	Forwards, Repeats, RepeatsRefused               uint64
 	GateCalls, GateDispatched, GateRejected         uint64
-	HostFailures, ConfigApplied, MembersKnown       uint64
+	HostFailures, ConfigApplied                     uint64
 	HeartbeatsTaken, HeartbeatsIgnored, StageWrites uint64
 }
 
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -94,12 +94,12 @@
 // the instances with enough answers, more than half must show it.
 func Judge(target mesh.BackendVersion, all []Evidence) string {
 	c := compare(target, all)
-	if failing(c.next, c.old) && c.most(func(t tally) bool { return failing1(t, c.old) }, "") {
+	if failing(c.next, c.old) && c.most(func(t tally) bool { return instanceFails(t, c.old) }, "") {
 		return fmt.Sprintf("%d of %d answers failed, %d of %d before", c.next.failures, c.next.answers, c.old.failures, c.old.answers)
 	}
 	for _, name := range c.routes {
 		next, old := c.byRoute[name][0], c.byRoute[name][1]
-		if failing(next, old) && c.most(func(t tally) bool { return failing1(t, old) }, name) {
+		if failing(next, old) && c.most(func(t tally) bool { return instanceFails(t, old) }, name) {
 			return fmt.Sprintf("%d of %d answers failed on route %s, %d of %d before", next.failures, next.answers, name, old.failures, old.answers)
 		}
 		if slow(next, old) && c.most(func(t tally) bool { return t.measured > 0 && t.mean() > slowFactor*old.mean() }, name) {
@@ -110,8 +110,8 @@
 	return ""
 }
 
-// failing1 judges a single instance, which has few answers.
-func failing1(t, old tally) bool {
+// instanceFails judges a single instance, which has few answers.
+func instanceFails(t, old tally) bool {
 	return t.failures > 0 && t.failedShare() > failureFactor*old.failedShare()+failureMargin
 }
 
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -39,7 +39,4 @@
 	Repeats retry.WindowBudget
 	// LinkMbps is the bandwidth of the host.
 	LinkMbps int
-	// Descriptors and MemoryBytes are the limits of the process.
-	Descriptors int
-	MemoryBytes int64
 }
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -62,8 +62,9 @@
 		return 0, false, err
 	}
 	r.Host = hostName
-	r.Header.Set("X-Attempt-Identifier", identity)
-	r.Header.Set("X-Deadline-Milliseconds", fmt.Sprint(callTimeout.Milliseconds()))
+	identityHeader, deadlineHeader := standin.Names()
+	r.Header.Set(identityHeader, identity)
+	r.Header.Set(deadlineHeader, fmt.Sprint(callTimeout.Milliseconds()))
 	resp, err := client.Do(r)
 	if err != nil {
 		return 0, false, err
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -139,27 +138,15 @@
 }
 
 func (d *deployment) settings(h *host) string {
-	return fmt.Sprintf(`
-Node = "host-%d"
-IpAddress = %q
-Zone = "zone-%d"
-InternalPorts = [%d, %d]
-Service = %q
-AppAddress = %q
-Bounds = ["GraceS=%d", "BudgetRatio=0.2", "BudgetExtraTries=60", "BudgetWindowS=10"]
-[Listen]
-Outbound = %q
-Inbound = %q
-Ready = %q
-Control = %q
-[Advertise]
-Inbound = %q
-Peer = %q
-[Platform]
-Address = %q
-`, h.index, h.ip, h.index%2, portPeer, portMetrics, serviceName, h.addr(portInstance), int(gracePeriod.Seconds()),
-		h.addr(portCall), h.addr(portForward), h.addr(portReady), h.addr(portControl),
-		h.addr(portForwardLink), h.addr(portPeerLink), h.addr(portStoreLink))
+	return standin.HostSettings{
+		Name: fmt.Sprintf("host-%d", h.index), IP: h.ip, Zone: fmt.Sprintf("zone-%d", h.index%2), Service: serviceName,
+		PeerPort: portPeer, GraceSeconds: int(gracePeriod.Seconds()),
+		Addresses: standin.Addresses{
+			Instance: h.addr(portInstance), Call: h.addr(portCall), Forward: h.addr(portForward), Ready: h.addr(portReady),
+			Control: h.addr(portControl), AdvertisedForward: h.addr(portForwardLink), AdvertisedPeer: h.addr(portPeerLink),
+			Store: h.addr(portStoreLink),
+		},
+	}.Text()
 }
 
 // startNode starts the host's process. Its output is appended to the host's log.
@@ -240,24 +227,16 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version++
-	resources := []any{
-		map[string]any{"EntryKind": "Services", "Metadata": map[string]any{"Name": serviceName}, "Specification": map[string]any{"MaxConnections": 100}},
-	}
-	add := func(name, kind string) {
-		resources = append(resources, map[string]any{"EntryKind": "Routes", "Metadata": map[string]any{"Name": name}, "Specification": map[string]any{
-			"Host": hostName, "Prefix": "/" + name + "/", "Kind": kind, "TimeoutMs": 1500, "TargetLatencyMs": 400, "Priority": 1, "Attempts": 2, "Service": serviceName}})
-	}
-	add("read", "idempotent")
-	add("order", "non_idempotent")
+	routes := []standin.Route{{Name: "read"}, {Name: "order", Once: true}}
 	for v := 1; v <= d.version; v++ {
-		add(fmt.Sprintf("version-%d", v), "idempotent")
+		routes = append(routes, standin.Route{Name: fmt.Sprintf("version-%d", v)})
 	}
-	text, err := json.Marshal(map[string]any{"Version": fmt.Sprintf("r%d", d.version), "Resources": resources})
+	err := d.store.Configure(standin.Configuration{
+		Version: d.version, Host: hostName, Service: serviceName, Routes: routes, TimeoutMillis: 1500, TargetMillis: 400,
+	})
 	if err != nil {
 		d.ledger.broke("encode the configuration: %v", err)
-		return d.version
 	}
-	d.store.Put("op", "config", text)
 	return d.version
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -263,8 +263,9 @@
 	bad := d.hosts[d.opts.Hosts]
 	bad.instance.SetFaults(standin.InstanceFaults{FailShare: 0.5})
 	before := len(d.allRuns())
-	text := fmt.Sprintf(`{"Service":%q,"Target":%q,"DurationS":%d}`, serviceName, newVersion, int(e.For.Seconds()))
-	d.store.Put("op", "rollout/"+serviceName, []byte(text))
+	if err := d.store.Order(serviceName, newVersion, int(e.For.Seconds())); err != nil {
+		d.ledger.broke("encode the order: %v", err)
+	}
 	sleepUntil(ctx, time.Now().Add(e.For))
 	d.mu.Lock()
 	exposed := len(bad.instance.Runs())
@@ -273,9 +274,8 @@
 	if float64(exposed) > exposureShare*float64(all)+exposureSlack {
 		d.ledger.broke("the bad version ran %d of %d requests", exposed, all)
 	}
-	var status struct{ State string }
-	if err := json.Unmarshal(d.store.Get("status", "rollout/"+serviceName), &status); err != nil || status.State == "completed" {
-		d.ledger.broke("the roll-out of a bad version is %q (%v)", status.State, err)
+	if state, _ := d.store.RolloutState(serviceName); state == "" || state == "completed" {
+		d.ledger.broke("the roll-out of a bad version is %q", state)
 	}
 }
 
