--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -19,7 +19,7 @@
 	// operatorWait is the time that the store holds a request for changes of the
 	// operator's rows. It bounds the time for which a silent connection hides
 	// a change of the configuration.
-	operatorWait = 2 * time.Second
+	operatorWait = time.Second
 	// sharedWait is the same for the rows of the nodes, which peers also tell.
 	sharedWait = 8 * time.Second
 	// storeTimeout bounds any answer of the store, beyond the time it is asked to
@@ -66,9 +66,7 @@
 			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", uint64(after))
 			continue
 		}
-		if t == TableShared {
-			n.step(proxy.StoreState{Loaded: loaded, Alive: err == nil})
-		}
+		n.tableAnswered(t, err == nil)
 		if (err == nil) != alive {
 			alive = err == nil
 			n.log.Event("store.table", "table", int(t), "alive", alive, "cause", errorText(err))
@@ -84,6 +82,19 @@
 	}
 }
 
+// tableAnswered notes whether the store answered the last call about a table. The
+// store counts as alive while it answers about both: a call about the operator's
+// rows ends first, and followers must not wait for the other one.
+func (n *Node) tableAnswered(t Table, alive bool) {
+	changed := n.answers[t].Swap(alive) != alive
+	n.step(proxy.StoreState{
+		Loaded: n.loaded(), Alive: n.answers[TableOperator].Load() && n.answers[TableShared].Load(),
+	})
+	if changed {
+		n.changed.wake()
+	}
+}
+
 // alone reports whether no other host is known.
 func (n *Node) alone() (alone bool) {
 	n.inspect(func(r *proxy.Node) { alone = r.Alone() })
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -28,6 +28,8 @@
 	// store tries the store itself. In an outage each refused call is a load on
 	// the store, and peers tell what changes.
 	probeInterval = 5 * time.Second
+	// probePause is the pause between polls of a reader that has lost the store.
+	probePause = 100 * time.Millisecond
 	// readerCheck is the period at which a node that reads the store checks
 	// whether it should follow a reader.
 	readerCheck = 200 * time.Millisecond
@@ -108,11 +110,11 @@
 		}
 		n.step(proxy.StoreState{Loaded: true, Alive: alive})
 		if alive {
-			probeAt = time.Now().Add(rand.N(probeInterval))
+			probeAt = time.Now().Add(rand.N(mismatchHold))
 			continue
 		}
 		if time.Now().Before(probeAt) {
-			pause(ctx, mismatchHold)
+			pause(ctx, probePause)
 			continue
 		}
 		probeAt = time.Now().Add(probeInterval/2 + rand.N(probeInterval))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,6 +55,8 @@
 	changed broadcast
 	// follower is set while this node follows a reader.
 	follower atomic.Bool
+	// answers tells by table whether the store has answered the last call.
+	answers [2]atomic.Bool
 
 	poolsMu  sync.Mutex
 	hosts    map[string]*upstream.Pool // by forward address
