--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 )
 
@@ -18,9 +21,13 @@
 	// mismatchHold is the least hold of a poll by a node whose list of members
 	// differs, so that a difference that lasts costs little.
 	mismatchHold = 300 * time.Millisecond
-	// selfReadTime is the time for which a node reads the store itself after its
-	// reader has failed.
+	// selfReadTime is the time for which a node reads the store itself once it has
+	// found that the store answers it and not its reader.
 	selfReadTime = 3 * time.Second
+	// probeInterval is the mean period at which a node whose reader has lost the
+	// store tries the store itself. In an outage each refused call is a load on
+	// the store, and peers tell what changes.
+	probeInterval = 5 * time.Second
 	// readerCheck is the period at which a node that reads the store checks
 	// whether it should follow a reader.
 	readerCheck = 200 * time.Millisecond
@@ -79,7 +86,7 @@
 // followReader keeps this node's replicas by following a reader of its failure
 // domain, and decides whether it reads the store itself.
 func (n *Node) followReader(ctx context.Context) {
-	var selfUntil time.Time
+	var selfUntil, probeAt time.Time
 	for ctx.Err() == nil {
 		var reader proxy.Member
 		own := true
@@ -90,19 +97,39 @@
 			continue
 		}
 		alive, err := n.peers.await(reader)
-		if err != nil || !alive {
-			selfUntil = time.Now().Add(selfReadTime)
-			n.follower.Store(false)
-			n.log.Line(time.Now(), "reader.lost", "reader", string(reader.Host), "store_alive", alive, "error", errorText(err))
+		if err != nil {
+			// Another host becomes the reader until an exchange with this one succeeds.
+			n.log.Line(time.Now(), "reader.lost", "reader", string(reader.Host), "error", err.Error())
+			n.step(proxy.PeerChecked{Host: reader.Host, Alive: false})
 			continue
 		}
 		if !n.follower.Swap(true) {
 			n.log.Line(time.Now(), "reader.followed", "reader", string(reader.Host))
-			n.step(proxy.StoreState{Loaded: true, Alive: true})
+		}
+		n.step(proxy.StoreState{Loaded: true, Alive: alive})
+		if alive {
+			probeAt = time.Now().Add(rand.N(probeInterval))
+			continue
+		}
+		if time.Now().Before(probeAt) {
+			pause(ctx, mismatchHold)
+			continue
+		}
+		probeAt = time.Now().Add(probeInterval/2 + rand.N(probeInterval))
+		if n.probeStore(ctx) {
+			selfUntil = time.Now().Add(selfReadTime)
 		}
 	}
 }
 
+// probeStore makes one call to the store and reports whether it answers.
+func (n *Node) probeStore(ctx context.Context) bool {
+	_, err := n.awaitChanges(ctx, TableShared, n.replicas[TableShared].at(), 0)
+	alive := err == nil || errorx.IsOfType(err, ErrHistoryLost)
+	n.log.Line(time.Now(), "reader.probed_store", "alive", alive, "error", errorText(err))
+	return alive
+}
+
 func errorText(err error) string {
 	if err == nil {
 		return ""
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -253,7 +253,7 @@
 	// accepted, however many clients still come.
 	acceptPart = 0.5
 	// stopMargin is the time left before the end of the grace period.
-	stopMargin = 400 * time.Millisecond
+	stopMargin = 900 * time.Millisecond
 )
 
 // stop announces that the node leaves, serves until its clients have moved to
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -76,6 +76,7 @@
 	links    [3]*Link // forward, peer, store
 	instance *standin.Instance
 	runs     []standin.Run // of instances that have ended
+	down     bool          // the instance has crashed
 	cancel   context.CancelFunc
 
 	mu       sync.Mutex
@@ -225,10 +226,12 @@
 	return h.instance.Start(ctx)
 }
 
+// endInstance ends the instance and keeps what it has run.
 func (h *host) endInstance() {
 	h.cancel()
 	h.instance.Close()
 	h.runs = append(h.runs, h.instance.Runs()...)
+	h.instance = standin.NewInstance(standin.InstanceSettings{Slots: 1}) // runs nothing
 }
 
 // configure writes the next configuration. Each version adds a route of its own,
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -205,9 +205,19 @@
 
 func (d *deployment) crash(ctx context.Context, h *host, end time.Time) {
 	d.mu.Lock()
-	h.endInstance()
+	down := h.down
+	if !down {
+		h.endInstance()
+	}
+	h.down = true
 	d.mu.Unlock()
+	if down {
+		return // a crash in a series on the same host
+	}
 	sleepUntil(ctx, end)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h.down = false
 	if err := d.startInstance(h); err != nil {
 		d.ledger.broke("host %d: start of the instance: %v", h.index, err)
 	}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/platform/standin"
+)
+
+// Guards against a schedule that cannot be played again.
+func TestScheduleIsAFunctionOfTheSeed(t *testing.T) {
+	is := is.New(t)
+	is.Equal(Schedule(7, time.Minute, 4), Schedule(7, time.Minute, 4))
+	is.True(len(Schedule(7, time.Minute, 4)) > 5)
+	for _, e := range Schedule(8, time.Minute, 4) {
+		is.True(e.Host < 4 && e.At >= settle && e.At < time.Minute)
+	}
+}
+
+// Guards against checks that see nothing: each kind of broken promise is found.
+func TestLedgerFindsBrokenPromises(t *testing.T) {
+	is := is.New(t)
+	l := newLedger(1)
+	l.answer("read-1", false, 200, false)
+	l.answer("order-1", true, 503, false)
+	l.answer("order-2", true, 200, true)
+	l.answer("order-3", true, 502, false)
+	l.settleRuns([]standin.Run{{Identity: "order-1"}, {Identity: "order-2"}, {Identity: "order-2"}, {Identity: "order-3"},
+		{Identity: "read-1"}, {Identity: "read-1"}}, isOrder)
+	is.Equal(l.summary.Wrong, 1)
+	is.Equal(l.summary.FalseRefusals, 1)
+	is.Equal(l.summary.RanTwice, 1)
+	is.Equal(len(l.summary.Broken), 3)
+	is.Equal(l.answeredShare(), 0.5)
+}
+
+// Guards against links that pass bytes while they should not, and that stay
+// broken.
+func TestLinkModes(t *testing.T) {
+	is := is.New(t)
+	echo, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = echo.Close() }()
+	go func() {
+		for {
+			c, err := echo.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(c, c) }()
+		}
+	}()
+	link, err := NewLink("127.0.0.1:0", echo.Addr().String())
+	is.NoErr(err)
+	defer link.Close()
+	exchange := func() error {
+		c, err := net.Dial("tcp", link.listener.Addr().String())
+		if err != nil {
+			return err
+		}
+		defer func() { _ = c.Close() }()
+		_ = c.SetDeadline(time.Now().Add(4 * linkDelay))
+		if _, err := c.Write([]byte("x")); err != nil {
+			return err
+		}
+		_, err = c.Read(make([]byte, 1))
+		return err
+	}
+	for mode, works := range map[LinkMode]bool{LinkPass: true, LinkDelay: true, LinkSilent: false, LinkOneWay: false, LinkReset: false} {
+		link.Set(mode)
+		is.Equal(exchange() == nil, works)
+	}
+	link.Set(LinkPass)
+	is.NoErr(exchange())
+}
+
+// Guards against a crash in a series that counts the runs of an instance twice
+// and cannot start it again (seed 135).
+func TestCrashDuringCrash(t *testing.T) {
+	is := is.New(t)
+	d := &deployment{opts: Options{Seed: 249}, ledger: newLedger(1)}
+	h := &host{ip: "127.80.249.9", version: oldVersion}
+	d.hosts = []*host{h}
+	is.NoErr(d.startInstance(h))
+	done := make(chan struct{}, 2)
+	for range 2 {
+		go func() { d.crash(t.Context(), h, time.Now().Add(50*time.Millisecond)); done <- struct{}{} }()
+	}
+	<-done
+	<-done
+	is.Equal(d.ledger.summary.Broken, []string{})
+	h.endInstance()
+}
