Pass a large answer on while it arrives at the entry node

Cause: an answer crossed the links of both nodes one after the other, since the entry node stored it whole. Ruled out: streaming from the instance too; a broken answer could then not be replaced by another attempt.

Answers of 12 KB and more are given out piece by piece; their bytes are read as fast as they come, so that a slow client holds up no gate. A stream that breaks ends short of its stated length, is counted, and its host is checked. Calls to the store are counted too.

--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -14,8 +14,9 @@
 )
 
 const (
-	// largeBytes is the size from which an answer is paced.
-	largeBytes = 12 << 10
+	// LargeBytes is the size from which an answer is paced, and passed on while it
+	// arrives.
+	LargeBytes = 12 << 10
 	// pieceBytes is the size of the pieces of a large answer.
 	pieceBytes = 8 << 10
 	// linkPart is the part of the link's rate for large answers.
@@ -44,33 +45,69 @@
 func NewLink(mbps int) *Link { return &Link{rate: linkPart * float64(mbps) * 1e6 / 8} }
 
 // Large reports whether an answer of the given size is paced.
-func Large(bytes int) bool { return bytes >= largeBytes }
+func Large(bytes int) bool { return bytes >= LargeBytes }
 
-// Send writes an answer. flush sends what was written.
-func (l *Link) Send(ctx context.Context, w io.Writer, body []byte, flush func() error) error {
-	if l.rate == 0 || !Large(len(body)) {
-		_, err := w.Write(body)
-		return err
-	}
-	a := &answer{left: len(body), turn: make(chan struct{}, 1)}
-	for len(body) > 0 {
-		if err := l.await(ctx, a); err != nil {
+// Content is what an answer consists of.
+type Content interface {
+	// Len returns the number of bytes that are left.
+	Len() int
+	// Next returns the next bytes, at most the given number, and waits for them if
+	// they have not arrived yet.
+	Next(most int) ([]byte, error)
+}
+
+// Bytes is content that is there as a whole.
+type Bytes struct{ left []byte }
+
+// NewBytes returns the content of the given bytes.
+func NewBytes(b []byte) *Bytes { return &Bytes{left: b} }
+
+// Len implements Content.
+func (b *Bytes) Len() int { return len(b.left) }
+
+// Next implements Content.
+func (b *Bytes) Next(most int) ([]byte, error) {
+	piece := b.left[:min(most, len(b.left))]
+	b.left = b.left[len(piece):]
+	return piece, nil
+}
+
+// Send writes an answer. flush sends what was written. An answer that waits for
+// its own bytes leaves the link to others.
+func (l *Link) Send(ctx context.Context, w io.Writer, c Content, flush func() error) error {
+	a := &answer{left: c.Len(), turn: make(chan struct{}, 1)}
+	paced := l.rate > 0 && Large(a.left)
+	for a.left > 0 {
+		piece, err := c.Next(pieceBytes)
+		if err != nil {
 			return err
 		}
-		piece := body[:min(pieceBytes, len(body))]
-		body = body[len(piece):]
-		_, err := w.Write(piece)
-		if err == nil {
-			err = flush()
+		if paced {
+			err = l.sendPiece(ctx, w, a, piece, flush)
+		} else {
+			_, err = w.Write(piece)
 		}
-		l.sent(ctx, a, len(piece))
 		if err != nil {
 			return err
 		}
+		a.left -= len(piece)
 	}
 	return nil
 }
 
+// sendPiece writes a piece of a large answer when it is its turn.
+func (l *Link) sendPiece(ctx context.Context, w io.Writer, a *answer, piece []byte, flush func() error) error {
+	if err := l.await(ctx, a); err != nil {
+		return err
+	}
+	_, err := w.Write(piece)
+	if err == nil {
+		err = flush()
+	}
+	l.sent(ctx, len(piece))
+	return err
+}
+
 // await returns when it is the answer's turn.
 func (l *Link) await(ctx context.Context, a *answer) error {
 	if err := ctx.Err(); err != nil {
@@ -102,8 +139,7 @@
 }
 
 // sent accounts for a piece and passes the turn on once the link is free.
-func (l *Link) sent(ctx context.Context, a *answer, bytes int) {
-	a.left -= bytes
+func (l *Link) sent(ctx context.Context, bytes int) {
 	l.mu.Lock()
 	now := time.Now()
 	if l.free.Before(now) {
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -22,7 +22,7 @@
 	var wg sync.WaitGroup
 	var outs [2]bytes.Buffer
 	for i := range outs {
-		wg.Go(func() { is.NoErr(l.Send(context.Background(), &outs[i], body, flush)) })
+		wg.Go(func() { is.NoErr(l.Send(context.Background(), &outs[i], NewBytes(body), flush)) })
 	}
 	wg.Wait()
 	is.True(time.Since(began) >= 180*time.Millisecond) // 160 KB
@@ -47,7 +47,7 @@
 				<-start
 			}
 			var out bytes.Buffer
-			is.NoErr(l.Send(context.Background(), &out, make([]byte, size), flush))
+			is.NoErr(l.Send(context.Background(), &out, NewBytes(make([]byte, size)), flush))
 			mu.Lock()
 			order = append(order, size)
 			mu.Unlock()
@@ -57,7 +57,7 @@
 		time.Sleep(time.Millisecond) // until the first answer is on its way
 	}
 	began := time.Now()
-	is.NoErr(l.Send(context.Background(), &bytes.Buffer{}, make([]byte, 1000), flush))
+	is.NoErr(l.Send(context.Background(), &bytes.Buffer{}, NewBytes(make([]byte, 1000)), flush))
 	is.True(time.Since(began) < 50*time.Millisecond)
 	close(start)
 	wg.Wait()
@@ -71,7 +71,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var wg sync.WaitGroup
 	for range 3 {
-		wg.Go(func() { _ = l.Send(ctx, &bytes.Buffer{}, make([]byte, 1<<20), flush) })
+		wg.Go(func() { _ = l.Send(ctx, &bytes.Buffer{}, NewBytes(make([]byte, 1<<20)), flush) })
 	}
 	for l.Backlog() == 0 {
 		time.Sleep(time.Millisecond) // until they wait
@@ -80,7 +80,7 @@
 	wg.Wait()
 	done := make(chan error, 1)
 	go func() {
-		done <- l.Send(context.Background(), &bytes.Buffer{}, make([]byte, largeBytes), flush)
+		done <- l.Send(context.Background(), &bytes.Buffer{}, NewBytes(make([]byte, LargeBytes)), flush)
 	}()
 	select {
 	case err := <-done:
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -113,6 +113,7 @@
 func (n *Node) load(ctx context.Context, t Table) (platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
+	n.totals.storeReads.Add(1)
 	rows, revision, err := n.platform.Rows(ctx, t)
 	if err != nil {
 		return 0, err
@@ -129,6 +130,7 @@
 func (n *Node) awaitChanges(ctx context.Context, t Table, after platform.Revision, wait time.Duration) (platform.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 	defer cancel()
+	n.totals.storeReads.Add(1)
 	changes, revision, err := n.platform.Changes(ctx, t, after, wait)
 	if err != nil {
 		return after, err
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/chicoryscale/chicoryscale/internal/egress"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 	"github.com/chicoryscale/chicoryscale/internal/upstream"
@@ -55,7 +56,7 @@
 	if a.response == nil {
 		return 0
 	}
-	return len(a.response.Body)
+	return a.response.Size()
 }
 
 // sendToGate forwards a request to the gate of another host.
@@ -120,11 +121,11 @@
 	}
 	a.backlog = n.link.Backlog()
 	a.encode(w.Header())
-	var content []byte
+	var content egress.Content = egress.NewBytes(nil)
 	if a.response != nil {
-		content = a.response.Body
+		content = a.response.Content()
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(len(content)))
+	w.Header().Set("Content-Length", strconv.Itoa(content.Len()))
 	w.WriteHeader(status)
 	if err := n.link.Send(r.Context(), w, content, http.NewResponseController(w).Flush); err != nil {
 		n.log.Line(time.Now(), "gate.write_failed", "remote", r.RemoteAddr, "error", err.Error())
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -10,9 +10,11 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/joomcode/errorx"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
+	"github.com/chicoryscale/chicoryscale/internal/upstream"
 )
 
 // defaultBodyBytes bounds a request's body until a configuration states a limit.
@@ -27,6 +29,8 @@
 	print   mesh.Fingerprint
 	effects chan proxy.CallEffect
 	answer  gateAnswer // of the latest attempt
+	// release ends the latest attempt, whose answer may still be arriving.
+	release context.CancelFunc
 }
 
 // serveCall handles a request of a client or of the instance on this host.
@@ -46,6 +50,7 @@
 	req := &request{
 		node: n, id: mesh.CallID(n.nextID.Add(1)), http: r, body: body,
 		print: fingerprint(r.Method, r.RequestURI, body), effects: make(chan proxy.CallEffect, waiterEffects),
+		release: func() {},
 	}
 	n.mu.Lock()
 	n.calls[req.id] = req.effects
@@ -102,6 +107,7 @@
 // run executes the effects on the request until one ends it.
 func (r *request) run(w http.ResponseWriter) (o outcome) {
 	ctx := r.http.Context()
+	defer func() { r.release() }()
 	for {
 		select {
 		case e := <-r.effects:
@@ -110,7 +116,7 @@
 				o.attempts, o.host, o.instance = e.Attempt, e.Host, e.Instance
 				r.forward(ctx, &e)
 			case proxy.CallRespond:
-				o.status = r.respond(w)
+				o.status = r.respond(w, &o)
 				return o
 			default:
 				o.status, o.reason = r.reject(w, &e), e.Reason
@@ -126,8 +132,12 @@
 // forward runs one attempt and reports its end.
 func (r *request) forward(ctx context.Context, e *proxy.CallEffect) {
 	n := r.node
-	attempt, cancel := context.WithDeadline(ctx, n.wall(e.Deadline))
-	defer cancel()
+	r.release()
+	attempt, cancel := context.WithCancel(ctx)
+	r.release = cancel
+	// The limit ends the wait for an answer and not its delivery.
+	limit := time.AfterFunc(time.Until(n.wall(e.Deadline)), cancel)
+	defer limit.Stop()
 	f := forwarded{
 		method: r.http.Method, target: r.http.RequestURI, host: r.http.Host, body: r.body,
 		instance: e.Instance, route: e.Route, rank: e.Rank, deadline: e.Deadline, leftToTarget: e.LeftToTarget,
@@ -154,9 +164,11 @@
 // wall turns a time of the reducer into one for contexts.
 func (n *Node) wall(t mesh.Time) time.Time { return n.started.Add(t.Sub(n.epoch)) }
 
-// respond gives the instance's answer to the client.
-func (r *request) respond(w http.ResponseWriter) int {
-	resp := r.answer.response
+// respond gives the instance's answer to the client. An answer that breaks off on
+// its way from the gate ends with the client's connection, short of the length
+// that it states.
+func (r *request) respond(w http.ResponseWriter, o *outcome) int {
+	n, resp := r.node, r.answer.response
 	header := w.Header()
 	for name, values := range resp.Header {
 		header[name] = values
@@ -164,10 +176,16 @@
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil // keeps net/http from guessing one
 	}
-	header.Set("Content-Length", strconv.Itoa(len(resp.Body)))
+	header.Set("Content-Length", strconv.Itoa(resp.Size()))
 	w.WriteHeader(resp.Status)
-	if err := r.node.link.Send(r.http.Context(), w, resp.Body, http.NewResponseController(w).Flush); err != nil {
-		r.node.log.Line(time.Now(), "call.write_failed", "call", uint64(r.id), "error", err.Error())
+	err := n.link.Send(r.http.Context(), w, resp.Content(), http.NewResponseController(w).Flush)
+	if err == nil {
+		return resp.Status
+	}
+	n.log.Line(time.Now(), "call.write_failed", "call", uint64(r.id), "from", string(o.host), "error", err.Error())
+	if errorx.IsOfType(err, upstream.ErrLost) && r.http.Context().Err() == nil {
+		n.totals.brokenOff.Add(1)
+		n.step(proxy.PeerChecked{Host: o.host, Alive: false})
 	}
 	return resp.Status
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -108,6 +109,25 @@
 	{"chicory.rollout.writes", "{row}", "Rows of roll-outs written by this node.", func(c *proxy.Counters) uint64 { return c.StageWrites }},
 }
 
+// totalSpec names one count that is kept outside the reducer.
+type totalSpec struct {
+	name, unit, help string
+	value            func(n *Node) int64
+}
+
+var totalSpecs = [...]totalSpec{
+	{"chicory.log.left_out", "{line}", "Log lines that were left out.", func(n *Node) int64 { return n.log.Dropped() }},
+	{"chicory.instance.connections", "{connection}", "Connections opened to the instance.", func(n *Node) int64 { return n.instance.Opened() }},
+	{"chicory.answers.broken_off", "{answer}", "Large answers that broke off on their way from the gate.", func(n *Node) int64 { return n.totals.brokenOff.Load() }},
+	{"chicory.store.reads", "{call}", "Reading calls to the store.", func(n *Node) int64 { return n.totals.storeReads.Load() }},
+	{"chicory.store.writes", "{call}", "Writing calls to the store.", func(n *Node) int64 { return n.totals.storeWrites.Load() }},
+}
+
+// totals are counts that are kept outside the reducer.
+type totals struct {
+	brokenOff, storeReads, storeWrites atomic.Int64
+}
+
 // registerCounters registers the reducer's counters. One callback reads them
 // together, so that a scrape stops the reducer once.
 func registerCounters(meter metric.Meter, n *Node) error {
@@ -124,13 +144,13 @@
 	if err != nil {
 		return fmt.Errorf("register metric chicory.config.version: %w", err)
 	}
-	dropped, err := meter.Int64ObservableCounter("chicory.log.left_out", metric.WithUnit("{line}"), metric.WithDescription("Log lines that were left out."))
-	if err != nil {
-		return fmt.Errorf("register metric chicory.log.left_out: %w", err)
-	}
-	opened, err := meter.Int64ObservableCounter("chicory.instance.connections", metric.WithUnit("{connection}"), metric.WithDescription("Connections opened to the instance."))
-	if err != nil {
-		return fmt.Errorf("register metric chicory.instance.connections: %w", err)
+	var totals []metric.Int64Observable
+	for _, t := range totalSpecs {
+		inst, err := meter.Int64ObservableCounter(t.name, metric.WithUnit(t.unit), metric.WithDescription(t.help))
+		if err != nil {
+			return fmt.Errorf("register metric %s: %w", t.name, err)
+		}
+		totals, instruments = append(totals, inst), append(instruments, inst)
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		var c proxy.Counters
@@ -145,10 +165,11 @@
 			o.ObserveInt64(counters[i], int64(spec.value(&c)))
 		}
 		o.ObserveInt64(version, v)
-		o.ObserveInt64(dropped, n.log.Dropped())
-		o.ObserveInt64(opened, n.instance.Opened())
+		for i, spec := range totalSpecs {
+			o.ObserveInt64(totals[i], spec.value(n))
+		}
 		return nil
-	}, append(instruments, version, dropped, opened)...)
+	}, append(instruments, version)...)
 	if err != nil {
 		return fmt.Errorf("register the counters: %w", err)
 	}
--- a/internal/sidecar/publish.go
+++ b/internal/sidecar/publish.go
@@ -64,6 +64,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
+	n.totals.storeWrites.Add(1)
 	revision, conflict, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: present.Revision},
 		[]Write{{Table: TableShared, Put: platform.Put{Key: key, Value: value}}})
 	switch {
@@ -120,6 +121,7 @@
 	key := rolloutPrefix + string(w.Row.Service)
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
+	n.totals.storeWrites.Add(1)
 	revision, conflict, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: platform.Revision(w.Expect)},
 		[]Write{{Table: TableShared, Put: platform.Put{Key: key, Value: value}}, {Table: TableStatus, Put: status}})
 	switch {
@@ -140,6 +142,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
+	n.totals.storeWrites.Add(1)
 	_, _, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: present.Revision},
 		[]Write{{Table: TableShared, Put: platform.Put{Key: key}, Delete: true}})
 	n.log.Line(time.Now(), "member.row_removed", "about", string(host), "error", errorText(err))
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -37,6 +37,7 @@
 	headers  *Headers
 	log      *Log
 	metrics  *metrics
+	totals   totals
 	started  time.Time
 	epoch    mesh.Time // time of day at the start; later times add the steady clock
 	nextID   atomic.Uint64
@@ -98,7 +99,7 @@
 func hostOptions() upstream.Options {
 	return upstream.Options{
 		DialTimeout: 300 * time.Millisecond, UserTimeout: 400 * time.Millisecond, KeepAlive: time.Second,
-		IdleTime: 20 * time.Second, FreshTime: 20 * time.Second, MaxAnswerBytes: maxAnswerBytes,
+		IdleTime: 20 * time.Second, FreshTime: 20 * time.Second, MaxAnswerBytes: maxAnswerBytes, StreamBytes: egress.LargeBytes,
 	}
 }
 
@@ -275,7 +276,8 @@
 			n.log.Event("node.requests_cut", "server", s.name, "error", err.Error())
 		}
 	}
-	n.log.Event("node.stopped", "after_ms", time.Since(began).Milliseconds(), "calls", n.inFlight.Load(), "lines_left_out", n.log.Dropped())
+	n.log.Event("node.stopped", "after_ms", time.Since(began).Milliseconds(), "calls", n.inFlight.Load(), "lines_left_out", n.log.Dropped(),
+		"store_reads", n.totals.storeReads.Load(), "store_writes", n.totals.storeWrites.Load())
 }
 
 // awaitQuiet returns once no client sends requests any more, at the latest at the
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -21,6 +21,7 @@
 	// that crossed the request.
 	lossSlack = 200 * time.Millisecond
 	orderPart = 3 // every third request is an order
+	largePart = 5 // every fifth request has a large answer
 )
 
 // call sends requests to one host until ctx ends. Callers use open connections
@@ -33,6 +34,9 @@
 		if n%orderPart == 0 {
 			route, method = "order", http.MethodPost
 		}
+		if n%largePart == 0 {
+			route += "/large"
+		}
 		d.request(ctx, client, h, method, route, fmt.Sprintf("%s-%d-%d-%d", route, h.index, caller, n))
 		time.Sleep(callerPause)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -64,35 +64,55 @@
 	return err == nil && quiet
 }
 
-// exchange writes a request and reads its whole answer. wrote reports whether
-// any byte of the request may have reached the server, reuse whether the
-// connection may serve another request.
-func (c *conn) exchange(r *Request, o *Options) (resp *Response, wrote, reuse bool, err error) {
+// exchanged is the end of an exchange, or the arrival of a large answer's head.
+type exchanged struct {
+	resp *Response
+	// rest is the content of an answer that is still arriving, nil for others.
+	rest io.Reader
+	// wrote reports whether any byte of the request may have reached the server.
+	wrote bool
+	// reuse reports whether the connection may serve another request.
+	reuse bool
+}
+
+// exchange writes a request and reads its answer: the whole of it, or the head of
+// one that is large enough to be streamed.
+func (c *conn) exchange(r *Request, o *Options) (exchanged, error) {
 	n, err := c.Write(r.encode())
 	if err != nil {
-		return nil, n > 0, false, err
+		return exchanged{wrote: n > 0}, err
 	}
 	for range maxForeignAnswers {
 		answer, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
-			return nil, true, false, err
+			return exchanged{wrote: true}, err
 		}
-		body, err := readBody(answer, o.MaxAnswerBytes)
-		if err != nil {
-			return nil, true, false, err
+		if answer.ContentLength > int64(o.MaxAnswerBytes) {
+			return exchanged{wrote: true}, errTooLarge
+		}
+		own := answer.StatusCode >= http.StatusOK && r.owns(answer, o.IdentityHeader)
+		out := exchanged{wrote: true, resp: &Response{Status: answer.StatusCode, Header: answer.Header}}
+		framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
+		if own && o.StreamBytes > 0 && answer.ContentLength >= int64(o.StreamBytes) {
+			c.noteKeepAlive(answer.Header, o)
+			out.resp.Stream, out.rest = newBody(int(answer.ContentLength)), answer.Body
+			out.reuse = !answer.Close
+			return out, nil
+		}
+		if out.resp.Body, err = readBody(answer, o.MaxAnswerBytes); err != nil {
+			return exchanged{wrote: true}, err
 		}
-		if answer.StatusCode < http.StatusOK || !r.owns(answer, o.IdentityHeader) {
+		if !own {
 			if answer.Close {
-				return nil, true, false, errForeign
+				return exchanged{wrote: true}, errForeign
 			}
 			continue
 		}
 		c.noteKeepAlive(answer.Header, o)
-		framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-		reuse = framed && !answer.Close && c.reader.Buffered() == 0
-		return &Response{Status: answer.StatusCode, Header: answer.Header, Body: body}, true, reuse, nil
+		out.reuse = framed && !answer.Close && c.reader.Buffered() == 0
+		return out, nil
 	}
-	return nil, true, false, errForeign
+	return exchanged{wrote: true}, errForeign
 }
 
 var (
@@ -109,9 +129,6 @@
 
 func readBody(answer *http.Response, limit int) ([]byte, error) {
 	defer func() { _ = answer.Body.Close() }() // the connection is closed on any error
-	if answer.ContentLength > int64(limit) {
-		return nil, errTooLarge
-	}
 	if answer.ContentLength >= 0 {
 		body := make([]byte, answer.ContentLength)
 		_, err := io.ReadFull(answer.Body, body)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -18,6 +18,8 @@
 
 	"github.com/joomcode/errorx"
 	"golang.org/x/sys/unix"
+
+	"github.com/chicoryscale/chicoryscale/internal/egress"
 )
 
 var (
@@ -50,6 +52,9 @@
 	FreshTime time.Duration
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int
+	// StreamBytes is the size from which an answer is given out while it arrives.
+	// Zero stands for never.
+	StreamBytes int
 	// IdentityHeader names the header that an answer repeats from its request.
 	IdentityHeader string
 }
@@ -94,13 +99,25 @@
 	return b.Bytes()
 }
 
-// Response is a whole answer.
+// Response is a whole answer or, with Stream, one whose content still arrives.
 type Response struct {
 	Status int
 	Header http.Header
 	Body   []byte
+	Stream *Body
+}
+
+// Content returns the content, which arrives meanwhile if it is streamed.
+func (r *Response) Content() egress.Content {
+	if r.Stream != nil {
+		return r.Stream
+	}
+	return egress.NewBytes(r.Body)
 }
 
+// Size returns the number of bytes of the content that are not taken yet.
+func (r *Response) Size() int { return r.Content().Len() }
+
 // Pool holds the connections to one address. It is safe for concurrent use.
 type Pool struct {
 	addr    string
@@ -119,31 +136,50 @@
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
 
-// Do sends a request and returns its whole answer. It ends when ctx does; the
-// connection is then closed, which ends the work at the server. Errors are of
-// the types ErrNotSent, ErrBusy and ErrLost.
+// Do sends a request and returns its whole answer, or its head if it is streamed.
+// It ends when ctx does, and so does the stream; the connection is then closed,
+// which ends the work at the server. Errors are of the types ErrNotSent, ErrBusy
+// and ErrLost.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, err := p.take(ctx, r.Fragile)
 	if err != nil {
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	resp, wrote, reuse, err := c.exchange(r, p.options)
-	undisturbed := stop()
-	if err != nil || !reuse || !undisturbed {
-		p.discard(c)
-	} else {
-		p.give(c)
+	out, err := c.exchange(r, p.options)
+	if err == nil && out.rest != nil {
+		go p.stream(c, &out, stop)
+		return out.resp, nil
 	}
+	p.release(c, out.reuse && err == nil, stop)
 	switch {
 	case err == nil:
-		return resp, nil
-	case wrote:
+		return out.resp, nil
+	case out.wrote:
 		return nil, ErrLost.Wrap(err, "exchange with %s", p.addr)
 	}
 	return nil, ErrNotSent.Wrap(err, "write to %s", p.addr)
 }
 
+// stream reads the content of an answer to its end.
+func (p *Pool) stream(c *conn, out *exchanged, stop func() bool) {
+	err := out.resp.Stream.fill(out.rest)
+	if err != nil {
+		out.resp.Stream.fail(ErrLost.Wrap(err, "read the answer of %s", p.addr))
+	}
+	p.release(c, err == nil && out.reuse && c.reader.Buffered() == 0, stop)
+}
+
+// release gives a connection back, or closes it if it is of no more use or if the
+// context of its request has ended.
+func (p *Pool) release(c *conn, reuse bool, stop func() bool) {
+	if undisturbed := stop(); reuse && undisturbed {
+		p.give(c)
+		return
+	}
+	p.discard(c)
+}
+
 // take returns an idle connection or opens one.
 func (p *Pool) take(ctx context.Context, fragile bool) (*conn, error) {
 	if c := p.takeIdle(fragile); c != nil {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -156,3 +156,77 @@
 	defer p.mu.Unlock()
 	return len(p.idle) > 0 && p.idle[0].quiet()
 }
+
+// serveInParts answers one request with parts of which each waits for its turn.
+func serveInParts(t *testing.T, parts ...string) (addr string, next chan<- struct{}) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	turns := make(chan struct{}, len(parts))
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		for _, part := range parts {
+			<-turns
+			_, _ = io.WriteString(c, part)
+		}
+	}()
+	return l.Addr().String(), turns
+}
+
+func streaming() *Options {
+	o := options()
+	o.StreamBytes = 4
+	return o
+}
+
+// Guards against a large answer that is given out only when it is complete.
+func TestStreamsLargeAnswer(t *testing.T) {
+	is := is.New(t)
+	addr, next := serveInParts(t, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nabcd", "efgh")
+	next <- struct{}{}
+	p := NewPool(addr, streaming())
+	resp, err := p.Do(context.Background(), get("1"))
+	is.NoErr(err)
+	is.Equal(resp.Size(), 8)
+	piece, err := resp.Stream.Next(3)
+	is.NoErr(err)
+	is.Equal(string(piece), "abc")
+	next <- struct{}{}
+	piece, err = resp.Stream.Next(9)
+	is.NoErr(err)
+	is.Equal(string(piece), "defgh")
+	is.Equal(resp.Size(), 0)
+}
+
+// Guards against a streamed answer that breaks off and looks whole.
+func TestTruncatedStreamIsLost(t *testing.T) {
+	is := is.New(t)
+	p := NewPool(serve(t, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nabcd"), streaming())
+	resp, err := p.Do(context.Background(), get("1"))
+	is.NoErr(err)
+	_, err = resp.Stream.Next(8)
+	is.True(errorx.IsOfType(err, ErrLost))
+}
+
+// Guards against a stream that outlives its request.
+func TestEndOfContextEndsStream(t *testing.T) {
+	is := is.New(t)
+	addr, next := serveInParts(t, "HTTP/1.1 200 OK\r\nContent-Length: 8\r\n\r\nabcd", "efgh")
+	next <- struct{}{}
+	ctx, cancel := context.WithCancel(context.Background())
+	resp, err := NewPool(addr, streaming()).Do(ctx, get("1"))
+	is.NoErr(err)
+	cancel()
+	_, err = resp.Stream.Next(8)
+	is.True(errorx.IsOfType(err, ErrLost))
+}
