Make fewer calls to the store: at the start, on changes and in outages

A node that starts reads the hosts' rows, and gets the operator's rows from its reader. A host tells its changes to the readers of all failure domains, and their followers are woken, so that rows are written at most every 3 s and read once a second (every 0.3 s during a roll-out). In an outage three hosts of a failure domain try the store in place of their reader; refused calls back off.

--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -172,13 +172,15 @@
 	Removals []mesh.HostID
 	// Announce is set when the record of this host has changed.
 	Announce bool
+	// MembersChanged is set when a member or the plan of a roll-out has changed.
+	MembersChanged bool
 }
 
 // Reset empties the effects and keeps their memory.
 func (r *Ready) Reset() {
 	r.Calls, r.Gates, r.Records = r.Calls[:0], r.Gates[:0], r.Records[:0]
 	r.Checks, r.Evidence, r.Writes = r.Checks[:0], r.Evidence[:0], r.Writes[:0]
-	r.Removals, r.Announce = r.Removals[:0], false
+	r.Removals, r.Announce, r.MembersChanged = r.Removals[:0], false, false
 }
 
 // CallAction is the kind of a CallEffect.
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -340,23 +340,64 @@
 // store. A reader answers about two polls a second of each of them.
 const nodesPerReader = 25
 
-// Reader returns the node of this failure domain that this node follows, and
-// whether it is to read the store itself. The hosts with the largest links read,
-// since each sends what it has read to all its followers.
-func (n *Node) Reader() (reader Member, self bool) {
+// Role is the part of a node in reading the store for its failure domain.
+type Role struct {
+	// Reader is the node that this node follows, unless it reads the store itself.
+	Reader Member
+	Reads  bool
+	// Substitute is set for a follower that tries the store when its reader has
+	// lost it.
+	Substitute bool
+}
+
+// substitutesPerReader is the number of followers of each reader that try the
+// store when the reader has lost it. In an outage each refused call is a load on
+// the store, and peers tell what changes.
+const substitutesPerReader = 3
+
+// Role returns the present role of this node.
+func (n *Node) Role() Role {
+	nodes := n.byLink(n.settings.Domain)
+	own := slices.IndexFunc(nodes, func(m Member) bool { return m.Host == n.settings.Host })
+	readers := readerCount(len(nodes))
+	if own < readers {
+		return Role{Reads: true}
+	}
+	return Role{Reader: nodes[own%readers], Substitute: own < readers*(1+substitutesPerReader)}
+}
+
+// Readers returns the readers of all failure domains, but for this node.
+func (n *Node) Readers() []Member {
+	domains := make(map[mesh.FailureDomain]struct{})
+	for _, m := range n.members {
+		domains[m.Domain] = struct{}{}
+	}
+	var readers []Member
+	for _, domain := range slices.Sorted(maps.Keys(domains)) {
+		nodes := n.byLink(domain)
+		for _, m := range nodes[:min(readerCount(len(nodes)), len(nodes))] {
+			if m.Host != n.settings.Host {
+				readers = append(readers, m)
+			}
+		}
+	}
+	return readers
+}
+
+func readerCount(nodes int) int { return 1 + nodes/nodesPerReader }
+
+// byLink returns the live nodes of a failure domain. The hosts with the largest
+// links come first and read the store, since each reader sends what it has read
+// to all its followers.
+func (n *Node) byLink(domain mesh.FailureDomain) []Member {
 	var nodes []Member
 	for _, host := range slices.Sorted(maps.Keys(n.members)) {
-		if m := n.members[host]; m.Domain == n.settings.Domain && m.reachable && !m.Leaving {
+		if m := n.members[host]; m.Domain == domain && m.reachable && !m.Leaving {
 			nodes = append(nodes, m.Member)
 		}
 	}
 	slices.SortStableFunc(nodes, func(a, b Member) int { return cmp.Compare(b.LinkMbps, a.LinkMbps) })
-	own := slices.IndexFunc(nodes, func(m Member) bool { return m.Host == n.settings.Host })
-	readers := 1 + len(nodes)/nodesPerReader
-	if own < readers {
-		return Member{}, true
-	}
-	return nodes[own%readers], false
+	return nodes
 }
 
 // StoreAlive reports whether the store answers this node.
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -106,6 +106,7 @@
 	if n.membersChanged {
 		n.membersChanged = false
 		n.updateRouting(s)
+		out.MembersChanged = true
 	}
 }
 
@@ -125,6 +126,9 @@
 	return n.config != nil && (n.store.Loaded || len(n.members) > 1) && !n.stopping
 }
 
+// RollingOut reports whether a roll-out is running.
+func (n *Node) RollingOut() bool { return n.rollouts.Running() }
+
 // Idle reports whether no request is in progress.
 func (n *Node) Idle() bool { return len(n.calls) == 0 && len(n.gateCalls) == 0 }
 
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 	"time"
@@ -294,22 +295,57 @@
 func TestReaderOfAFailureDomain(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t).serving()
-	_, self := r.node.Reader()
-	is.True(self) // h0 is the first of its domain
+	is.True(r.node.Role().Reads) // h0 is the first of its domain
 	other := New(start, Settings{Host: "h9", Domain: "a", ForwardAddr: "h9:1", PeerAddr: "h9:2", Incarnation: 1})
 	var out Ready
 	other.Step(start, 1, MembersSeen{[]Member{remote("h1", "i1", 1), remote("h2", "i2", 1)}}, &out)
-	reader, self := other.Reader()
-	is.True(!self)
-	is.Equal(string(reader.Host), "h1")
+	is.True(!other.Role().Reads)
+	is.Equal(string(other.Role().Reader.Host), "h1")
 	other.Step(start, 1, PeerChecked{Host: "h1", Alive: false}, &out)
-	reader, _ = other.Reader()
-	is.Equal(string(reader.Host), "h2") // the next one takes its place
+	is.Equal(string(other.Role().Reader.Host), "h2") // the next one takes its place
 	wide := remote("h7", "i7", 1)
 	wide.LinkMbps = 200
 	other.Step(start, 1, MembersSeen{[]Member{wide}}, &out)
-	reader, _ = other.Reader()
-	is.Equal(string(reader.Host), "h7") // a reader sends to all its followers
+	is.Equal(string(other.Role().Reader.Host), "h7") // a reader sends to all its followers
+}
+
+// Guards against an outage in which every node of a failure domain tries the store.
+func TestFewSubstitutesTryTheStore(t *testing.T) {
+	is := is.New(t)
+	substitutes, readers := 0, 0
+	for own := range 12 {
+		n := New(start, Settings{Host: mesh.HostID(fmt.Sprintf("h%02d", own)), Domain: "a", ForwardAddr: "x:1", PeerAddr: "x:2", Incarnation: 1})
+		var out Ready
+		for i := range 12 {
+			if i != own {
+				n.Step(start, 1, MembersSeen{[]Member{remote(mesh.HostID(fmt.Sprintf("h%02d", i)), mesh.InstanceID(fmt.Sprintf("i%d", i)), 1)}}, &out)
+			}
+		}
+		if n.Role().Reads {
+			readers++
+		}
+		if n.Role().Substitute {
+			substitutes++
+		}
+	}
+	is.Equal(readers, 1)
+	is.Equal(substitutes, substitutesPerReader)
+}
+
+// Guards against a change of a host that its own failure domain alone is told of.
+func TestReadersOfAllFailureDomains(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	for i, domain := range []string{"b", "b", "c"} {
+		m := remote(mesh.HostID(fmt.Sprintf("x%d", i)), mesh.InstanceID(fmt.Sprintf("y%d", i)), 1)
+		m.Domain = mesh.FailureDomain(domain)
+		r.step(MembersSeen{[]Member{m}})
+	}
+	var hosts []string
+	for _, m := range r.node.Readers() {
+		hosts = append(hosts, string(m.Host))
+	}
+	is.Equal(hosts, []string{"x0", "x2"}) // this host reads for its own
 }
 
 // Guards against rows of replaced hosts that pile up in the store, and against
--- a/internal/rollout/reducer.go
+++ b/internal/rollout/reducer.go
@@ -174,6 +174,16 @@
 	return m.row.Driver, m.order.Revision, true
 }
 
+// Running reports whether any roll-out has begun and not ended.
+func (r *Reducer) Running() bool {
+	for _, m := range r.moves {
+		if m.order.Revision > 0 && (m.row.Order < m.order.Revision || !m.row.State.Final()) {
+			return true
+		}
+	}
+	return false
+}
+
 // Order returns the revision of the service's latest order, zero for none.
 func (r *Reducer) Order(s mesh.Service) uint64 {
 	if m := r.moves[s]; m != nil {
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -25,11 +25,18 @@
 	// storeTimeout bounds any answer of the store, beyond the time it is asked to
 	// wait.
 	storeTimeout = 700 * time.Millisecond
-	// storeBackoff is the pause after a failure of the store, with jitter.
-	storeBackoff = 300 * time.Millisecond
-	// sharedPause is the pause after changes of the shared rows, so that the rows
-	// of many hosts that start together come in few calls.
-	sharedPause = 300 * time.Millisecond
+	// storeBackoff is the pause after a failure of the store, with jitter. It
+	// doubles up to longestBackoff.
+	storeBackoff   = 300 * time.Millisecond
+	longestBackoff = time.Second
+	// sharedPause is the pause after changes of the shared rows. Hosts tell their
+	// changes to each other, so that the rows are needed only to find hosts.
+	sharedPause = time.Second
+	// rolloutPause is the same during a roll-out, whose stages spread by its row.
+	rolloutPause = 300 * time.Millisecond
+	// aloneTime is the time after which a node that has found no other host takes
+	// itself for the only one.
+	aloneTime = 2500 * time.Millisecond
 	// firstStartPause is the pause of a node that finds no other host: all start
 	// together, and their rows come with one call after it.
 	firstStartPause = 1500 * time.Millisecond
@@ -38,50 +45,79 @@
 	rolloutPrefix = "rollout/"
 )
 
-// follow keeps the replica of a table.
+// follow keeps the replica of a table by the store, unless a reader does.
 func (n *Node) follow(ctx context.Context, t Table) {
-	loaded, alive := false, false
 	wait := operatorWait
 	if t == TableShared {
 		wait = sharedWait
 	}
+	alive, lost := false, false // lost is set once the store has forgotten changes
+	backoff := storeBackoff
 	var after platform.Revision
 	for ctx.Err() == nil {
-		if loaded && n.follower.Load() {
-			after = max(after, n.replicas[t].at())
+		if !n.reads(t) {
 			pause(ctx, readerCheck)
 			continue
 		}
 		var err error
-		if !loaded {
+		if lost || !n.replicas[t].isLoaded() {
 			after, err = n.load(ctx, t)
 		} else {
-			after, err = n.awaitChanges(ctx, t, after, wait)
+			after, err = n.awaitChanges(ctx, t, max(after, n.replicas[t].at()), wait)
 		}
-		switch {
-		case err == nil:
-			loaded = true
-		case errorx.IsOfType(err, ErrHistoryLost):
-			loaded = false
+		if errorx.IsOfType(err, ErrHistoryLost) {
+			lost = true
 			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", uint64(after))
 			continue
 		}
+		lost = lost && err != nil
 		n.tableAnswered(t, err == nil)
 		if (err == nil) != alive {
 			alive = err == nil
 			n.log.Event("store.table", "table", int(t), "alive", alive, "cause", errorText(err))
 		}
-		switch {
-		case err != nil:
-			pause(ctx, storeBackoff/2+rand.N(storeBackoff))
-		case t == TableShared && n.alone():
-			pause(ctx, firstStartPause)
-		case t == TableShared:
-			pause(ctx, sharedPause)
+		if err != nil {
+			pause(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, longestBackoff)
+			continue
+		}
+		backoff = storeBackoff
+		if t == TableShared {
+			pause(ctx, n.sharedPause())
 		}
 	}
 }
 
+// reads reports whether this node is to read a table from the store now. The
+// shared rows come first: they name the hosts, of which few read the operator's
+// rows. A node that finds no other host reads them too, once others that have
+// started with it would have announced themselves.
+func (n *Node) reads(t Table) bool {
+	if n.follower.Load() {
+		return false
+	}
+	if t == TableShared || n.replicas[t].isLoaded() {
+		return true
+	}
+	alone, reader := true, false
+	n.inspect(func(r *proxy.Node) { alone, reader = r.Alone(), r.Role().Reads })
+	return reader && (!alone || time.Since(n.started) > aloneTime)
+}
+
+// sharedPause returns the pause after changes of the shared rows, so that the rows
+// of many hosts that change together come in few calls.
+func (n *Node) sharedPause() time.Duration {
+	alone, moving := false, false
+	n.inspect(func(r *proxy.Node) { alone, moving = r.Alone(), r.RollingOut() })
+	switch {
+	case alone:
+		return firstStartPause
+	case moving:
+		return rolloutPause
+	}
+	return sharedPause
+}
+
 // tableAnswered notes whether the store answered the last call about a table. The
 // store counts as alive while it answers about both: a call about the operator's
 // rows ends first, and followers must not wait for the other one.
@@ -95,12 +131,6 @@
 	}
 }
 
-// alone reports whether no other host is known.
-func (n *Node) alone() (alone bool) {
-	n.inspect(func(r *proxy.Node) { alone = r.Alone() })
-	return alone
-}
-
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -47,14 +47,18 @@
 
 // News is what a peer knows beyond a digest.
 type News struct {
-	Self     proxy.Member
-	Members  []proxy.Member
+	Self    proxy.Member
+	Members []proxy.Member
+	// Known is a hash over the members of the peer.
+	Known    uint64
 	Operator []Packed
 	Shared   []Packed
 	// OperatorAt and SharedAt are the revisions that the changes are complete up to.
 	OperatorAt platform.Revision
 	SharedAt   platform.Revision
 	Poison     []poison.Entry
+	// Loaded is set if the peer has read all tables, so that its rows are complete.
+	Loaded bool
 	// StoreAlive is set if the store answers the peer.
 	StoreAlive bool
 }
@@ -68,12 +72,14 @@
 	n.step(proxy.MembersSeen{Members: []proxy.Member{d.Self}})
 	n.step(proxy.PeerChecked{Host: d.Self.Host, Alive: true})
 	n.inspect(func(r *proxy.Node) {
-		out.Self = r.Self()
-		if r.MembersDigest() != d.Known {
+		out.Self, out.Known = r.Self(), r.MembersDigest()
+		out.Members = nil
+		if out.Known != d.Known {
 			out.Members = r.MembersFor(n.now(), d.Count, rand.N(fullListEvery) == 0)
 		}
 		out.Poison, out.StoreAlive = r.PoisonEntries(n.now()), r.StoreAlive()
 	})
+	out.Loaded = n.loaded()
 	var err error
 	if out.Operator, out.OperatorAt, err = n.replicas[TableOperator].since(d.Operator); err != nil {
 		return err
@@ -148,6 +154,10 @@
 	}
 	n.take(TableOperator, operator, news.OperatorAt)
 	n.take(TableShared, shared, news.SharedAt)
+	if news.Loaded {
+		n.replicas[TableOperator].setLoaded()
+		n.replicas[TableShared].setLoaded()
+	}
 	return news, nil
 }
 
--- a/internal/sidecar/publish.go
+++ b/internal/sidecar/publish.go
@@ -15,8 +15,12 @@
 )
 
 const (
-	// announceInterval is the least time between two writes of this host's row.
-	announceInterval = 100 * time.Millisecond
+	// announceInterval is the least time between two writes of this host's row, in
+	// which the changes of an instance that is replaced come together.
+	announceInterval = 3 * time.Second
+	// longestWriteBackoff bounds the pause between failed writes of this host's
+	// row, which starts at storeBackoff.
+	longestWriteBackoff = 3 * time.Second
 	// firstAnnounce is the time that a new process waits for its instance before
 	// it writes its row, so that most hosts write one row and not two.
 	firstAnnounce = 2500 * time.Millisecond
@@ -26,7 +30,8 @@
 	rolloutQueue = 16
 )
 
-// announce keeps this host's row in the store at its present state.
+// announce keeps this host's row in the store at its present state. Hosts tell
+// each other changes, and the row serves those that find no other host.
 func (n *Node) announce(ctx context.Context) {
 	select {
 	case <-ctx.Done():
@@ -41,8 +46,13 @@
 			return
 		case <-n.announced:
 		}
+		for !n.replicas[TableShared].isLoaded() && ctx.Err() == nil {
+			pause(ctx, readerCheck) // the row's revision is not known yet
+		}
+		backoff := storeBackoff
 		for n.writeSelf(ctx) != nil && ctx.Err() == nil {
-			pause(ctx, storeBackoff/2+rand.N(storeBackoff))
+			pause(ctx, backoff/2+rand.N(backoff))
+			backoff = min(2*backoff, longestWriteBackoff)
 		}
 		pause(ctx, announceInterval)
 	}
@@ -59,9 +69,6 @@
 	}
 	key := memberPrefix + string(self.Host)
 	present := n.replicas[TableShared].row(key)
-	if !n.replicas[TableShared].isLoaded() {
-		return ErrStore.New("the table is not loaded yet")
-	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	n.totals.storeWrites.Add(1)
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -21,21 +21,29 @@
 	// mismatchHold is the least hold of a poll by a node whose list of members
 	// differs, so that a difference that lasts costs little.
 	mismatchHold = 300 * time.Millisecond
+	// recentHold is the same for a difference that may be due to a change since the
+	// follower's last poll.
+	recentHold = 50 * time.Millisecond
 	// selfReadTime is the time for which a node reads the store itself once it has
 	// found that the store answers it and not its reader.
 	selfReadTime = 3 * time.Second
-	// probeInterval is the mean period at which a node whose reader has lost the
-	// store tries the store itself. In an outage each refused call is a load on
-	// the store, and peers tell what changes.
+	// probeInterval is the mean period at which a substitute whose reader has lost
+	// the store tries the store itself.
 	probeInterval = 5 * time.Second
 	// probePause is the pause between polls of a reader that has lost the store.
 	probePause = 100 * time.Millisecond
+	// tellPause is the least time between two tellings of this host's record.
+	tellPause = 50 * time.Millisecond
 	// readerCheck is the period at which a node that reads the store checks
 	// whether it should follow a reader.
 	readerCheck = 200 * time.Millisecond
 )
 
-const methodAwait = peerService + ".Await"
+// Methods for followers.
+const (
+	methodAwait = peerService + ".Await"
+	methodTell  = peerService + ".Tell"
+)
 
 // broadcast wakes all waiters at each change.
 type broadcast struct {
@@ -65,17 +73,20 @@
 // Await answers a digest with news, once there is some.
 func (s *PeerService) Await(d Digest, out *News) error {
 	n := s.node
-	began := time.Now()
-	hold := time.NewTimer(followHold)
+	if err := s.Exchange(d, out); err != nil {
+		return err
+	}
+	known := out.Known
+	hold := time.NewTimer(n.holdTime(len(out.Members) > 0))
 	defer hold.Stop()
-	for {
+	for len(out.Operator)+len(out.Shared) == 0 && out.Known == known && out.StoreAlive {
 		changed := n.changed.wait()
+		// A change between the last exchange and the wait wakes nobody.
 		if err := s.Exchange(d, out); err != nil {
 			return err
 		}
-		mismatch := len(out.Members) > 0 && time.Since(began) >= mismatchHold
-		if len(out.Operator)+len(out.Shared) > 0 || mismatch || !out.StoreAlive {
-			return nil
+		if len(out.Operator)+len(out.Shared) > 0 || out.Known != known || !out.StoreAlive {
+			break
 		}
 		select {
 		case <-changed:
@@ -83,6 +94,48 @@
 			return nil
 		}
 	}
+	return nil
+}
+
+// holdTime returns the time for which a poll is held without news. mismatch is set
+// if the members that the two nodes know differ.
+func (n *Node) holdTime(mismatch bool) time.Duration {
+	switch {
+	case !mismatch:
+		return followHold
+	case time.Since(n.started)-time.Duration(n.membersAt.Load()) < followHold:
+		return recentHold
+	}
+	return mismatchHold
+}
+
+// Tell takes in the record of a host that has changed.
+func (s *PeerService) Tell(m proxy.Member, _ *struct{}) error {
+	s.node.step(proxy.MembersSeen{Members: []proxy.Member{m}})
+	return nil
+}
+
+// tellReaders tells the readers of all failure domains each change of this host's
+// record. Their followers learn it by their polls.
+func (n *Node) tellReaders(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.told:
+		}
+		var self proxy.Member
+		var readers []proxy.Member
+		n.inspect(func(r *proxy.Node) { self, readers = r.Self(), r.Readers() })
+		for _, reader := range readers {
+			go func() {
+				if err := n.peers.call(reader.PeerAddr, methodTell, self, new(struct{}), peerTimeout); err != nil {
+					n.log.Line(time.Now(), "reader.not_told", "reader", string(reader.Host), "error", err.Error())
+				}
+			}()
+		}
+		pause(ctx, tellPause)
+	}
 }
 
 // followReader keeps this node's replicas by following a reader of its failure
@@ -90,15 +143,15 @@
 func (n *Node) followReader(ctx context.Context) {
 	var selfUntil, probeAt time.Time
 	for ctx.Err() == nil {
-		var reader proxy.Member
-		own := true
-		n.inspect(func(r *proxy.Node) { reader, own = r.Reader() })
-		if own || !n.loaded() || time.Now().Before(selfUntil) {
+		var role proxy.Role
+		n.inspect(func(r *proxy.Node) { role = r.Role() })
+		if role.Reads || time.Now().Before(selfUntil) {
 			n.follower.Store(false)
 			pause(ctx, readerCheck)
 			continue
 		}
-		alive, err := n.peers.await(reader)
+		reader := role.Reader
+		alive, err := n.awaitReader(reader)
 		if err != nil {
 			// Another host becomes the reader until an exchange with this one succeeds.
 			n.log.Line(time.Now(), "reader.lost", "reader", string(reader.Host), "error", err.Error())
@@ -108,12 +161,12 @@
 		if !n.follower.Swap(true) {
 			n.log.Line(time.Now(), "reader.followed", "reader", string(reader.Host))
 		}
-		n.step(proxy.StoreState{Loaded: true, Alive: alive})
+		n.step(proxy.StoreState{Loaded: n.loaded(), Alive: alive})
 		if alive {
 			probeAt = time.Now().Add(rand.N(mismatchHold))
 			continue
 		}
-		if time.Now().Before(probeAt) {
+		if !role.Substitute || time.Now().Before(probeAt) {
 			pause(ctx, probePause)
 			continue
 		}
@@ -124,6 +177,19 @@
 	}
 }
 
+// awaitReader asks a reader for news and waits for it, but for a node that has
+// just started: it lacks the rows and must not lose time to a silent reader.
+func (n *Node) awaitReader(reader proxy.Member) (storeAlive bool, err error) {
+	if n.loaded() {
+		return n.peers.await(reader)
+	}
+	news, err := n.peers.ask(reader.PeerAddr, methodExchange, peerTimeout)
+	if err == nil && !n.loaded() {
+		pause(context.Background(), probePause) // the reader has just started too
+	}
+	return news.StoreAlive || err == nil && !n.loaded(), err
+}
+
 // probeStore makes one call to the store and reports whether it answers.
 func (n *Node) probeStore(ctx context.Context) bool {
 	_, err := n.awaitChanges(ctx, TableShared, n.replicas[TableShared].at(), 0)
--- a/internal/sidecar/reader_test.go
+++ b/internal/sidecar/reader_test.go
@@ -3,9 +3,11 @@
 import (
 	"io"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 )
 
@@ -31,3 +33,51 @@
 	is.NoErr((&PeerService{n}).Exchange(Digest{Self: proxy.Member{Host: "b"}}, &news))
 	is.True(!news.StoreAlive)
 }
+
+// member returns the record of a host in the failure domain of the tests.
+func member(host string) proxy.Member {
+	return proxy.Member{Host: mesh.HostID(host), Domain: "d", ForwardAddr: host + ":1", PeerAddr: host + ":2", Incarnation: 1}
+}
+
+// Guards against a mass start in which every node reads every table: one that
+// finds other hosts gets the operator's rows from its reader.
+func TestFollowersReadTheSharedRowsAlone(t *testing.T) {
+	is := is.New(t)
+	n, err := New(Settings{Host: "b", Domain: "d", PeerAddr: "b:2"}, fakePlatform{}, NewLog(io.Discard))
+	is.NoErr(err)
+	is.True(n.reads(TableShared))
+	is.True(!n.reads(TableOperator)) // others may have started with it
+	n.step(proxy.MembersSeen{Members: []proxy.Member{member("a")}})
+	is.True(!n.reads(TableOperator)) // a reads
+	n.step(proxy.PeerChecked{Host: "a", Alive: false})
+	is.True(n.reads(TableOperator)) // in the place of a
+	n.follower.Store(true)
+	is.True(!n.reads(TableShared))
+}
+
+// Guards against followers that learn a change of another host only when their
+// poll ends.
+func TestFollowersLearnOfAChangeAtOnce(t *testing.T) {
+	is := is.New(t)
+	n, err := New(Settings{Host: "a", Domain: "d", PeerAddr: "a:2"}, fakePlatform{}, NewLog(io.Discard))
+	is.NoErr(err)
+	n.tableAnswered(TableOperator, true)
+	n.tableAnswered(TableShared, true)
+	n.step(proxy.MembersSeen{Members: []proxy.Member{member("b")}})
+	var known uint64
+	n.inspect(func(r *proxy.Node) { known = r.MembersDigest() })
+	service := &PeerService{n}
+	done := make(chan News, 1)
+	began := time.Now()
+	go func() {
+		var news News
+		if err := service.Await(Digest{Self: member("b"), Known: known, Count: 2}, &news); err != nil {
+			t.Error(err)
+		}
+		done <- news
+	}()
+	is.NoErr(service.Tell(member("c"), nil))
+	news := <-done
+	is.True(time.Since(began) < mismatchHold)
+	is.True(len(news.Members) > 0)
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -49,8 +49,9 @@
 	gates   map[mesh.CallID]chan proxy.GateEffect
 
 	peers     *peerSet
-	replicas  [2]*replica // by Table
-	announced chan struct{}
+	replicas  [2]*replica   // by Table
+	announced chan struct{} // the record of this host has changed and is to be stored
+	told      chan struct{} // the same for telling it to readers
 	rollouts  chan rolloutWrite
 	// changed wakes the nodes that follow this one.
 	changed broadcast
@@ -66,6 +67,7 @@
 	link     *egress.Link
 
 	lastCall  atomic.Int64 // time of the last request of a client, in ns since the start
+	membersAt atomic.Int64 // the same for the last change of a member
 	inFlight  atomic.Int64
 	stopping  atomic.Bool
 	listeners []net.Listener
@@ -76,7 +78,7 @@
 	n := &Node{
 		settings: s, platform: p, headers: p.Headers(), log: log, started: time.Now(),
 		calls: make(map[mesh.CallID]chan proxy.CallEffect), gates: make(map[mesh.CallID]chan proxy.GateEffect),
-		hosts: make(map[string]*upstream.Pool), announced: make(chan struct{}, 1), rollouts: make(chan rolloutWrite, rolloutQueue),
+		hosts: make(map[string]*upstream.Pool), announced: make(chan struct{}, 1), told: make(chan struct{}, 1), rollouts: make(chan rolloutWrite, rolloutQueue),
 	}
 	n.epoch = mesh.Time(n.started.UnixNano())
 	n.hostOpts = hostOptions()
@@ -149,6 +151,11 @@
 	}
 	if n.out.Announce {
 		signal(n.announced)
+		signal(n.told)
+	}
+	if n.out.MembersChanged {
+		n.membersAt.Store(int64(time.Since(n.started)))
+		n.changed.wake()
 	}
 }
 
@@ -229,6 +236,7 @@
 	go n.follow(ctx, TableShared)
 	go n.followReader(ctx)
 	go n.announce(ctx)
+	go n.tellReaders(ctx)
 	go n.writeRollouts(ctx)
 	go n.gossip(ctx)
 }
