Merge logs of many nodes, and report soak runs as a page and a time line

A soak run writes report.html (requests by outcome over bands of the faults) and timeline.log next to its logs.

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -36,7 +36,7 @@
 func New() *cobra.Command {
 	a := &app{}
 	root := group("chicoryctl", "Operates a chicoryscale mesh", a.configCommand(), a.statusCommand(),
-		a.classesCommand(), a.movesCommand(), a.nodesCommand(), a.drainCommand(), a.timelineCommand())
+		a.classesCommand(), a.movesCommand(), a.nodesCommand(), a.drainCommand(), a.timelineCommand(), a.logsCommand())
 	root.SilenceUsage, root.SilenceErrors = true, true
 	withoutCommand := root.RunE
 	root.RunE = func(cmd *cobra.Command, args []string) error {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -87,6 +87,8 @@
 		{silent.Addr().String(), []string{"config"}, ExitUsage},
 		{silent.Addr().String(), []string{"status", "--output", "xml"}, ExitUsage},
 		{silent.Addr().String(), []string{"timeline", "--version", "x"}, ExitUsage},
+		{silent.Addr().String(), []string{"logs"}, ExitUsage},
+		{silent.Addr().String(), []string{"logs", "testdata/missing.log"}, ExitUsage},
 	} {
 		code, out := execute(t, c.addr, c.args...)
 		if code != c.want {
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -31,12 +31,17 @@
 	summary Summary
 	refused map[string]time.Time // orders that were refused as not run
 	recent  []bool               // outcomes since the last reset, for recovery
+	began   time.Time
+	seconds []outcomes // by second since the start
 }
 
+// outcomes counts the ends of requests.
+type outcomes struct{ answered, refused, failed int }
+
 func newLedger(seed uint64) *ledger {
 	return &ledger{
 		summary: Summary{Seed: seed, Statuses: make(map[int]int), Faults: make(map[string]int), Broken: []string{}},
-		refused: make(map[string]time.Time),
+		refused: make(map[string]time.Time), began: time.Now(),
 	}
 }
 
@@ -59,6 +64,7 @@
 	l.summary.Requests++
 	l.summary.Statuses[status]++
 	l.recent = append(l.recent, status == 200)
+	l.countLocked(status)
 	switch {
 	case status == 200 && !whole:
 		l.summary.Wrong++
@@ -70,6 +76,21 @@
 	}
 }
 
+func (l *ledger) countLocked(status int) {
+	at := int(time.Since(l.began).Seconds())
+	for len(l.seconds) <= at {
+		l.seconds = append(l.seconds, outcomes{})
+	}
+	switch s := &l.seconds[at]; status {
+	case 200:
+		s.answered++
+	case 503:
+		s.refused++
+	default:
+		s.failed++
+	}
+}
+
 func (l *ledger) resetRecent() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -48,8 +48,12 @@
 	if !d.awaitReady(ctx, settle) {
 		l.broke("not all nodes are ready %v after the start", settle)
 	}
+	offset := time.Since(l.began)
 	d.play(ctx, events)
 	l.settleRuns(d.allRuns(), isOrder)
+	if err := writeReport(o.Dir, l, events, offset); err != nil {
+		return l.summary, err
+	}
 	return l.summary, ctx.Err()
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,9 @@
 import (
 	"io"
 	"net"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +98,24 @@
 	is.Equal(d.ledger.summary.Broken, []string{})
 	h.endInstance()
 }
+
+// Guards against a report that cannot be written, or that lacks what it is for.
+func TestReport(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	l := newLedger(3)
+	for _, status := range []int{200, 200, 503, 0} {
+		l.answer("read-1", false, status, true)
+	}
+	l.broke("host 1 <lacks> a configuration")
+	is.NoErr(os.WriteFile(filepath.Join(dir, "host-0.log"), []byte(`{"time":"2026-01-01T00:00:00Z","msg":"node.started"}`+"\n"), 0o600))
+	is.NoErr(writeReport(dir, l, []Event{{At: time.Second, For: time.Second, Kind: KindKill}}, 0))
+	text, err := os.ReadFile(filepath.Join(dir, "report.html"))
+	is.NoErr(err)
+	is.True(strings.Contains(string(text), "&lt;lacks&gt;"))
+	is.True(strings.Contains(string(text), "<svg"))
+	is.True(strings.Contains(string(text), "<td>kill"))
+	merged, err := os.ReadFile(filepath.Join(dir, "timeline.log"))
+	is.NoErr(err)
+	is.True(strings.Contains(string(merged), "node.started"))
+}
