Keep the gate of a stopping node open, and hold requests at the start

The gate stays open for 1.5 s and takes nothing that outlasts the process. A node that has just started holds requests for up to 0.4 s for its first configuration. TestNodeWithoutConfigurationAsksToComeBack asserted an immediate refusal; it now asserts it after that time, and at once when the node has run for longer.

Tests, failing before: TestStoppingNode (the gate), TestStoppingGateTakesNoLongRequest, TestRequestsWaitForTheFirstConfiguration.

--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -24,6 +24,9 @@
 	probesBeforeQueue = 2
 	// minLeft is the time that a call needs to be worth sending.
 	minLeft = 8 * time.Millisecond
+	// configWait is the longest time that a request waits at a node that has just
+	// started and is reading the configuration, a few round trips with its peers.
+	configWait = 400 * time.Millisecond
 	// configRetryAfter is the advice to a client of a node without configuration.
 	configRetryAfter = 300 * time.Millisecond
 	// placeRetryAfter is the advice to a client whose request found no instance.
@@ -62,9 +65,50 @@
 func (e CallArrived) apply(n *Node, s *step) {
 	n.counters.Calls++
 	if n.config == nil {
+		n.hold(s, e)
+		return
+	}
+	n.begin(s, e)
+}
+
+// waitingCall is a request that waits for the configuration.
+type waitingCall struct {
+	CallArrived
+	arrived mesh.Time
+}
+
+// hold keeps a request until a node that has just started knows a configuration.
+// A client that was refused would come back later than that, and not often.
+func (n *Node) hold(s *step, e CallArrived) {
+	if s.now.Sub(n.started) > startupTime || e.Budget > 0 && e.Budget < 2*configWait {
 		n.rejectNew(s, e.Call, mesh.ReasonNoConfiguration, configRetryAfter)
 		return
 	}
+	n.waiting = append(n.waiting, waitingCall{e, s.now})
+}
+
+// beginWaiting begins the requests that waited for the configuration.
+func (n *Node) beginWaiting(s *step) {
+	waiting := n.waiting
+	n.waiting = nil
+	for _, w := range waiting {
+		if w.Budget > 0 {
+			w.Budget -= s.now.Sub(w.arrived)
+		}
+		n.begin(s, w.CallArrived)
+	}
+}
+
+// rejectWaiting rejects the requests that have waited for too long.
+func (n *Node) rejectWaiting(s *step) {
+	for len(n.waiting) > 0 && s.now.Sub(n.waiting[0].arrived) >= configWait {
+		n.rejectNew(s, n.waiting[0].Call, mesh.ReasonNoConfiguration, configRetryAfter)
+		n.waiting = n.waiting[1:]
+	}
+}
+
+// begin starts a request at a node that knows a configuration.
+func (n *Node) begin(s *step, e CallArrived) {
 	route := n.config.Match(e.Host, e.Path)
 	if route == nil {
 		n.rejectNew(s, e.Call, mesh.ReasonNoRoute, 0)
@@ -317,6 +361,7 @@
 func (e CallCancelled) apply(n *Node, s *step) {
 	c := n.calls[e.Call]
 	if c == nil {
+		n.waiting = slices.DeleteFunc(n.waiting, func(w waitingCall) bool { return w.Call == e.Call })
 		return
 	}
 	n.counters.Cancelled++
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -59,7 +59,11 @@
 		n.rejectAtGate(s, e.Call, mesh.ReasonPoison, check.Crashes)
 		return
 	}
-	if reason := n.closed(e.Instance); reason != mesh.ReasonNone {
+	reason := n.closed(e.Instance)
+	if n.stopping && s.now.Add(e.Left) > n.stopEnds {
+		reason = mesh.ReasonDraining // it could not be answered before the process ends
+	}
+	if reason != mesh.ReasonNone {
 		n.rejectAtGate(s, e.Call, reason, 0)
 		return
 	}
@@ -84,7 +88,7 @@
 // closed tells why the gate takes no request for an instance.
 func (n *Node) closed(id mesh.InstanceID) mesh.Reason {
 	switch {
-	case n.stopping:
+	case n.self.Leaving:
 		return mesh.ReasonDraining
 	case n.local.id == "" || n.local.id != id || n.local.down:
 		return mesh.ReasonNoTarget
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -47,6 +47,7 @@
 	splits   map[mesh.Route]*split
 	longest  map[mesh.Route]time.Duration // longest time that a client of the route waits
 
+	waiting   []waitingCall // for the first configuration, oldest first
 	calls     map[mesh.CallID]*call
 	gateCalls map[mesh.CallID]*gateCall
 	gateOut   []admission.Effect
@@ -62,6 +63,8 @@
 	store    StoreState
 	stopping bool
 	stopEnds mesh.Time
+	// leavesAt is the time at which the gate of a stopping node closes.
+	leavesAt mesh.Time
 	counters Counters
 }
 
@@ -130,7 +133,7 @@
 func (n *Node) RollingOut() bool { return n.rollouts.Running() }
 
 // Idle reports whether no request is in progress.
-func (n *Node) Idle() bool { return len(n.calls) == 0 && len(n.gateCalls) == 0 }
+func (n *Node) Idle() bool { return len(n.waiting) == 0 && len(n.calls) == 0 && len(n.gateCalls) == 0 }
 
 // Config returns the configuration in force, nil if none is known.
 func (n *Node) Config() *catalog.Snapshot { return n.config }
@@ -171,15 +174,31 @@
 	}
 	n.splits = kept
 	s.record("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
+	if len(n.waiting) > 0 {
+		n.updateRouting(s) // members that are new in this step too
+		n.beginWaiting(s)
+	}
 }
 
-func (e Stop) apply(n *Node, s *step) {
-	if n.stopping {
+// gateOpenTime is the time for which the gate of a stopping node takes requests.
+// Its clients need longer than that to move to other nodes, and the instance goes
+// on while its node is replaced.
+const gateOpenTime = 1500 * time.Millisecond
+
+// leave closes the gate of a stopping node and tells the others.
+func (n *Node) leave(s *step) {
+	if !n.stopping || n.self.Leaving || s.now < n.leavesAt {
 		return
 	}
-	n.stopping, n.stopEnds = true, e.Ends
 	n.self.Leaving = true
 	n.announceSelf(s)
+}
+
+func (e Stop) apply(n *Node, s *step) {
+	if n.stopping {
+		return
+	}
+	n.stopping, n.stopEnds, n.leavesAt = true, e.Ends, s.now.Add(gateOpenTime)
 	s.record("node.stopping", "calls", len(n.calls), "gate_calls", len(n.gateCalls))
 }
 
