Judge each stage of a roll-out by itself, and shorten the late stages

From 10.0 s on, at 60% of the requests, 7 to 10% of its answers failed, but the good answers of the earlier stages outweighed them until 12.1 s, and the margin of 8% held for thousands of answers as for twenty. Ruled out: the spread of the row (10 ms to the readers) and of the evidence.

The present stage is judged by itself too, and the margin shrinks with the number of answers where the old version is there to compare. The stages before the last one now take 7% of the requests of the whole duration, 11% before, so that a fault that shows at the last stage stays under the tolerated share too.

Tests: TestLateFaultStaysUnderTheExposure, failing before.

--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
@@ -15,6 +16,13 @@
 	// relative to the old one.
 	failureFactor = 3
 	failureMargin = 0.08
+	// marginAnswers is the number of answers from which the margin shrinks with the
+	// square root of their number, down to leastMargin: the share of many answers
+	// varies less by chance. It shrinks only beside comparableAnswers of the old
+	// version, without which a disturbance of both cannot be told from a fault.
+	marginAnswers     = 60
+	leastMargin       = 0.015
+	comparableAnswers = 100
 	// minMeasured is the number of durations on each side needed to compare them.
 	minMeasured = 8
 	// slowFactor is the ratio of mean durations from which a version is slow. It
@@ -54,7 +62,14 @@
 
 // failing reports whether the new version fails clearly more than the old one.
 func failing(next, old tally) bool {
-	return next.failures >= minFailures && next.failedShare() > failureFactor*old.failedShare()+failureMargin
+	return next.failures >= minFailures && next.failedShare() > failureFactor*old.failedShare()+margin(next, old)
+}
+
+func margin(next, old tally) float64 {
+	if next.answers <= marginAnswers || old.answers < comparableAnswers {
+		return failureMargin
+	}
+	return max(failureMargin*math.Sqrt(marginAnswers/float64(next.answers)), leastMargin)
 }
 
 func slow(next, old tally) bool {
@@ -110,9 +125,10 @@
 	return ""
 }
 
-// instanceFails judges a single instance, which has few answers.
+// instanceFails judges a single instance, which has few answers: it takes part in a
+// fault if it fails more than the old version, by any margin.
 func instanceFails(t, old tally) bool {
-	return t.failures > 0 && t.failedShare() > failureFactor*old.failedShare()+failureMargin
+	return t.failures > 0 && t.failedShare() > failureFactor*old.failedShare()
 }
 
 // most reports whether more than half of the instances with enough answers on
--- a/internal/rollout/reducer.go
+++ b/internal/rollout/reducer.go
@@ -21,7 +21,10 @@
 // stages begin with a share below the tolerated exposure of a bad version and
 // last long enough there to see a fault that shows some seconds after the start.
 // The last one lets requests to the old version end before its instances stop.
-var stages = [...]stage{{600, 0.40}, {2500, 0.50}, {6000, 0.60}, {routing.FullShare, 0.70}}
+//
+// A version whose fault shows only at the last stage has got 7% of the requests
+// of the whole duration by then, which leaves time to see it.
+var stages = [...]stage{{600, 0.46}, {2000, 0.55}, {4500, 0.61}, {routing.FullShare, 0.70}}
 
 const (
 	// beatInterval is the period at which a driver renews its row.
@@ -58,6 +61,8 @@
 	changedAt mesh.Time // the row changed last, as seen here
 	writtenAt mesh.Time // this host wrote the row last
 	evidence  map[mesh.InstanceID]Evidence
+	// earlier is the evidence at the start of the row's stage, as seen here.
+	earlier map[mesh.InstanceID]Evidence
 }
 
 // Reducer holds the roll-outs of all services at one host. It is not safe for
@@ -101,7 +106,7 @@
 		return false
 	}
 	if row.Stage != m.row.Stage || row.Order != m.row.Order {
-		m.stageAt = now
+		m.stageAt, m.earlier = now, maps.Clone(m.evidence)
 	}
 	m.row, m.changedAt = row, now
 	return true
@@ -226,7 +231,7 @@
 		row.Driver = r.host
 		return row, now.Sub(m.changedAt) >= takeoverTime+delay
 	}
-	if reason := Judge(m.order.Target, r.all(m)); reason != "" {
+	if reason := m.fault(); reason != "" {
 		row.State, row.Reason = RolledBack, reason
 		return row, true
 	}
@@ -254,8 +259,18 @@
 	}
 }
 
-func (r *Reducer) all(m *move) []Evidence {
-	return slices.SortedFunc(maps.Values(m.evidence), func(a, b Evidence) int { return cmp.Compare(a.Instance, b.Instance) })
+// fault returns the reason to take the new version back, or an empty text. The
+// present stage is judged by itself too: a fault that shows under load would
+// otherwise be outweighed by the good answers of earlier stages.
+func (m *move) fault() string {
+	all := slices.SortedFunc(maps.Values(m.evidence), func(a, b Evidence) int { return cmp.Compare(a.Instance, b.Instance) })
+	if reason := Judge(m.order.Target, all); reason != "" || m.row.Stage == 0 {
+		return reason
+	}
+	for i := range all {
+		all[i] = all[i].since(m.earlier[all[i].Instance])
+	}
+	return Judge(m.order.Target, all)
 }
 
 // stageEnded reports whether the present stage has lasted its time and the new
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -181,3 +181,27 @@
 	is.Equal(string(r.Plan("s").Target), "v3")
 	is.Equal(r.Plan("s").Share, routing.Parts(0))
 }
+
+// Guards against a version whose fault shows late and grows with its share, and
+// which gets more than its tolerated share because all its earlier answers were
+// good (fresh day fresh-a3c5 of rmfan-mesh-grown: 274 of 1970 answers had failed
+// when it was taken back).
+func TestLateFaultStaysUnderTheExposure(t *testing.T) {
+	is := is.New(t)
+	late := func(at time.Duration, random *rand.Rand) (bool, time.Duration) {
+		failing := 0.01
+		switch part := float64(at) / float64(duration); {
+		case part > 0.6:
+			failing = 0.18
+		case part > 0.5:
+			failing = 0.09
+		}
+		return random.Float64() < failing, time.Duration(60+random.IntN(120)) * time.Millisecond
+	}
+	const rate = 1000
+	for seed := range uint64(20) {
+		final, _, exposed := play(t, seed, rate, late, 0)
+		is.Equal(final.State, RolledBack)
+		is.True(float64(exposed) < 0.1*rate*duration.Seconds()+50)
+	}
+}
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -93,3 +93,28 @@
 	Order       uint64
 	Routes      []RouteCount
 }
+
+// since returns the counts after an earlier state of the same evidence. Counts of
+// another incarnation of the host start anew.
+func (e Evidence) since(earlier Evidence) Evidence {
+	if earlier.Incarnation != e.Incarnation {
+		return e
+	}
+	before := make(map[mesh.Route]RouteCount, len(earlier.Routes))
+	for _, r := range earlier.Routes {
+		before[r.Route] = r
+	}
+	routes := make([]RouteCount, 0, len(e.Routes))
+	for _, r := range e.Routes {
+		b := before[r.Route]
+		if r.Answers < b.Answers || r.Failures < b.Failures || r.Measured < b.Measured || r.Busy < b.Busy {
+			b = RouteCount{} // the instance has started anew
+		}
+		routes = append(routes, RouteCount{
+			Route: r.Route, Answers: r.Answers - b.Answers, Failures: r.Failures - b.Failures,
+			Measured: r.Measured - b.Measured, Busy: r.Busy - b.Busy,
+		})
+	}
+	e.Routes = routes
+	return e
+}
