Place by what an instance fails beyond its service, and by the time of its host

Placement took their share by chance at each instance for a fault of it, and moved requests across failure domains and into queues. Durations of answers also left out what the host of an instance took, so that hosts at a quarter of their speed got as many requests as before.

A failure counts beyond the mean of the service and what averages vary by chance. The duration is that of the whole attempt less the wait for a slot. A byte between failure domains counts 2.5 times as much as before.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -8,6 +8,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -40,14 +41,18 @@
 	domainDelay = 15 * time.Millisecond
 	// domainByteTime is the time that a request waits for an instance of its own
 	// failure domain rather than carry a byte of its answer between domains,
-	// where bytes are the scarcest resource: one millisecond for a kilobyte.
-	domainByteTime = time.Millisecond / 1000
-	// maxDomainDelay bounds the cost of leaving the failure domain.
-	maxDomainDelay = 120 * time.Millisecond
+	// where bytes are the scarcest resource: 2.5 milliseconds for a kilobyte.
+	domainByteTime = 2500 * time.Nanosecond
+	// maxDomainDelay bounds the cost of leaving the failure domain. Large answers
+	// have targets of 300 milliseconds and more.
+	maxDomainDelay = 220 * time.Millisecond
 	// failureCost is the number of durations that a failure costs a request that
 	// can be repeated, onceFailureCost one that cannot.
 	failureCost     = 4
 	onceFailureCost = 12
+	// chanceDeviations is the number of standard deviations by which an instance must
+	// fail more than its service.
+	chanceDeviations = 2
 	// coldFactor is the ratio of durations of an instance in its cold start.
 	coldFactor = 2
 	// noise is the random part of the expected time. It keeps nodes from choosing
@@ -170,6 +175,7 @@
 	services  map[mesh.Service]*service
 	routes    map[mesh.Route]*route
 	busy      map[mesh.Service]*average // durations over all routes
+	failing   map[mesh.Service]*average // share of failures over all instances
 }
 
 type service struct {
@@ -181,7 +187,7 @@
 func New(domain mesh.FailureDomain) *Table {
 	return &Table{
 		domain: domain, instances: make(map[mesh.InstanceID]*instance), services: make(map[mesh.Service]*service),
-		routes: make(map[mesh.Route]*route), busy: make(map[mesh.Service]*average),
+		routes: make(map[mesh.Route]*route), busy: make(map[mesh.Service]*average), failing: make(map[mesh.Service]*average),
 	}
 }
 
@@ -311,7 +317,9 @@
 	if !need.Idempotent {
 		factor = onceFailureCost
 	}
-	failure := inst.failures.get(now) * factor * typical
+	// A failure that all instances share, such as one of a service further on, is
+	// no reason to leave the nearest for another.
+	failure := max(0, inst.failures.get(now)-t.sharedFailures(now, inst.Service)) * factor * typical
 	link := 0.0
 	if egress.Large(int(r.bytes.value)) {
 		link = float64(inst.backlog) * inst.freshness(now)
@@ -327,6 +335,17 @@
 	return min(float64(domainDelay)+r.bytes.value*float64(domainByteTime), float64(maxDomainDelay))
 }
 
+// sharedFailures returns the share of failures that tells nothing about a single
+// instance: the mean over the service and what averages vary by chance.
+func (t *Table) sharedFailures(now mesh.Time, name mesh.Service) float64 {
+	a := t.failing[name]
+	if a == nil {
+		return 0
+	}
+	mean := min(max(a.get(now), 0), 1)
+	return mean + chanceDeviations*math.Sqrt(mean*(1-mean)*failureWeight/(2-failureWeight))
+}
+
 // meanBusy returns the mean duration of the requests of a service.
 func (t *Table) meanBusy(now mesh.Time, name mesh.Service) float64 {
 	if a := t.busy[name]; a != nil {
@@ -361,6 +380,12 @@
 		failed = 1
 	}
 	inst.failures.add(now, failed, failureWeight)
+	failing := t.failing[inst.Service]
+	if failing == nil {
+		failing = &average{lifetime: failureLifetime}
+		t.failing[inst.Service] = failing
+	}
+	failing.add(now, failed, routeWeight)
 	if !res.Failed {
 		t.learn(now, inst, c.route, res)
 	}
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"strconv"
 	"testing"
 	"time"
@@ -140,3 +141,16 @@
 	counts := serve(table, start, 50, func(mesh.InstanceID) Result { return Result{Served: true} })
 	is.Equal(counts["i1"], 50)
 }
+
+// Guards against requests that cross failure domains in search of an instance that
+// fails less while all fail alike, because a service further on does.
+func TestSharedFailuresMoveNoRequests(t *testing.T) {
+	is := is.New(t)
+	table := New(home)
+	table.SetInstances(instances(home, home, away, away))
+	random := rand.New(rand.NewPCG(1, 1))
+	counts := serve(table, start, 600, func(mesh.InstanceID) Result {
+		return Result{Served: true, Failed: random.Float64() < 0.45, Duration: 90 * time.Millisecond}
+	})
+	is.True(counts["i2"]+counts["i3"] < 150)
+}
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -39,7 +39,8 @@
 	HostFailed bool
 	// Crashes is the number of crashes that the gate charges the request with.
 	Crashes uint8
-	// Duration is the time that the instance took, Bytes the size of its answer.
+	// Duration is the time that the attempt took but for its wait for a slot, so that
+	// it shows a slow host as well as a slow instance. Bytes is the size of the answer.
 	Duration time.Duration
 	Bytes    int
 	// Backlog is the time that large answers wait for the gate's link.
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -41,6 +41,7 @@
 	reached    bool // the instance was handed the request
 	hostFailed bool
 	crashes    uint8
+	waited     time.Duration // for a slot
 	duration   time.Duration // time that the instance took
 	backlog    time.Duration // of large answers on the host's link
 	load       mesh.Load
@@ -134,6 +135,7 @@
 
 // runAtGate admits a request to the instance on this host and runs it there.
 func (n *Node) runAtGate(ctx context.Context, f *forwarded) gateAnswer {
+	arrived := time.Now()
 	id := mesh.CallID(n.nextID.Add(1))
 	effects := make(chan proxy.GateEffect, waiterEffects)
 	n.mu.Lock()
@@ -151,7 +153,10 @@
 	select {
 	case e := <-effects:
 		if e.Action == proxy.GateDispatch {
-			return n.dispatch(ctx, id, f)
+			waited := time.Since(arrived)
+			a := n.dispatch(ctx, id, f)
+			a.waited = waited
+			return a
 		}
 		n.logGate(f, id, "rejected", e.Reason, e.Load, 0)
 		return gateAnswer{outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, crashes: e.Crashes}
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -23,7 +23,7 @@
 // Numbers of fields.
 const (
 	callFields   = 8
-	resultFields = 9
+	resultFields = 10
 )
 
 // hopHeaders apply to one connection only (RFC 9110, 7.6.1).
@@ -120,7 +120,7 @@
 		strconv.Itoa(int(a.outcome)), strconv.Itoa(int(a.reason)), formatFlags(a.reached, a.hasLoad), strconv.Itoa(int(a.crashes)),
 		strconv.FormatInt(a.duration.Microseconds(), 10),
 		strconv.Itoa(int(a.load.Slots)), strconv.Itoa(int(a.load.InUse)), strconv.Itoa(int(a.load.Queued)),
-		strconv.FormatInt(a.backlog.Milliseconds(), 10),
+		strconv.FormatInt(a.backlog.Milliseconds(), 10), strconv.FormatInt(a.waited.Microseconds(), 10),
 	}, separator))
 }
 
@@ -149,6 +149,7 @@
 		duration: time.Duration(numbers[4]) * time.Microsecond,
 		load:     mesh.Load{Slots: uint16(numbers[5]), InUse: uint16(numbers[6]), Queued: uint16(numbers[7])},
 		backlog:  time.Duration(numbers[8]) * time.Millisecond,
+		waited:   time.Duration(numbers[9]) * time.Microsecond,
 	}
 	a.reached, a.hasLoad, _ = parseFlags(fields[2]) // read as a number above
 	known := a.outcome == mesh.Answered || a.outcome == mesh.NotRun || a.outcome == mesh.MayHaveRun
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -145,6 +145,7 @@
 	}
 	f.header = forwardHeader(r.http.Header)
 	f.header.Set(n.headers.Caller, string(n.settings.Service))
+	began := time.Now()
 	var a gateAnswer
 	if e.Addr == "" {
 		a = n.runAtGate(attempt, &f)
@@ -157,7 +158,7 @@
 	}
 	n.step(proxy.AttemptDone{
 		Call: r.id, Attempt: e.Attempt, Outcome: a.outcome, Reason: a.reason, Failed: a.failed(), Reached: a.reached,
-		HostFailed: a.hostFailed, Crashes: a.crashes, Duration: a.duration, Bytes: a.bytes(), Backlog: a.backlog, Load: a.load, HasLoad: a.hasLoad,
+		HostFailed: a.hostFailed, Crashes: a.crashes, Duration: max(a.duration, time.Since(began)-a.waited), Bytes: a.bytes(), Backlog: a.backlog, Load: a.load, HasLoad: a.hasLoad,
 	})
 }
 
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -16,6 +16,10 @@
 const (
 	callersPerHost = 3
 	callerPause    = 60 * time.Millisecond
+	// fullRateHosts is the number of hosts up to which callers pause for callerPause.
+	// The callers of larger deployments share the rate of that many, since all
+	// processes share one machine.
+	fullRateHosts = 16
 	callTimeout    = 1500 * time.Millisecond
 	// lossSlack is the time within which a connection that ends belongs to a close
 	// that crossed the request.
@@ -38,7 +42,7 @@
 			route += "/large"
 		}
 		d.request(ctx, client, h, method, route, fmt.Sprintf("%s-%d-%d-%d", route, h.index, caller, n))
-		time.Sleep(callerPause)
+		time.Sleep(callerPause * time.Duration(max(1, d.opts.Hosts/fullRateHosts)))
 	}
 }
 
