Send large answers at 0.9 of the link's rate

A fifth of each link was kept for small answers, which need about a twentieth by their sizes and rates.

--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -20,7 +20,7 @@
 	// pieceBytes is the size of the pieces of a large answer.
 	pieceBytes = 8 << 10
 	// linkPart is the part of the link's rate for large answers.
-	linkPart = 0.8
+	linkPart = 0.9
 	// leastPause is the shortest pause worth a timer. Shorter ones add up.
 	leastPause = 2 * time.Millisecond
 )
