--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -20,7 +20,7 @@
 	// The callers of larger deployments share the rate of that many, since all
 	// processes share one machine.
 	fullRateHosts = 16
-	callTimeout    = 1500 * time.Millisecond
+	callTimeout   = 1500 * time.Millisecond
 	// lossSlack is the time within which a connection that ends belongs to a close
 	// that crossed the request.
 	lossSlack = 200 * time.Millisecond
