Let substitutes load all tables, and name notifications as such

Cause, found by reading the change: a follower that had just started took its reader for alive as long as its own tables were not loaded. If the store turned that reader away, the failure domain waited for an exchange with another one, and for ever if there is none.

Test: TestSubstituteReadsAllTables, failing before (the table of the operator stayed unread). The method that sends a host's record to the readers is called Notify.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -96,7 +96,7 @@
 	if n.follower.Load() {
 		return false
 	}
-	if t == TableShared || n.replicas[t].isLoaded() {
+	if t == TableShared || n.replicas[t].isLoaded() || n.substitutes() {
 		return true
 	}
 	alone, reader := true, false
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -32,8 +32,8 @@
 	probeInterval = 5 * time.Second
 	// probePause is the pause between polls of a reader that has lost the store.
 	probePause = 100 * time.Millisecond
-	// tellPause is the least time between two tellings of this host's record.
-	tellPause = 50 * time.Millisecond
+	// notifyPause is the least time between two notifications of this host's record.
+	notifyPause = 50 * time.Millisecond
 	// readerCheck is the period at which a node that reads the store checks
 	// whether it should follow a reader.
 	readerCheck = 200 * time.Millisecond
@@ -41,8 +41,8 @@
 
 // Methods for followers.
 const (
-	methodAwait = peerService + ".Await"
-	methodTell  = peerService + ".Tell"
+	methodAwait  = peerService + ".Await"
+	methodNotify = peerService + ".Notify"
 )
 
 // broadcast wakes all waiters at each change.
@@ -109,49 +109,49 @@
 	return mismatchHold
 }
 
-// Tell takes in the record of a host that has changed.
-func (s *PeerService) Tell(m proxy.Member, _ *struct{}) error {
+// Notify takes in the record of a host that has changed.
+func (s *PeerService) Notify(m proxy.Member, _ *struct{}) error {
 	s.node.step(proxy.MembersSeen{Members: []proxy.Member{m}})
 	return nil
 }
 
-// tellReaders tells the readers of all failure domains each change of this host's
-// record. Their followers learn it by their polls.
-func (n *Node) tellReaders(ctx context.Context) {
+// notifyReaders sends each change of this host's record to the readers of all
+// failure domains. Their followers learn it by their polls.
+func (n *Node) notifyReaders(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-n.told:
+		case <-n.recordChanged:
 		}
 		var self proxy.Member
 		var readers []proxy.Member
 		n.inspect(func(r *proxy.Node) { self, readers = r.Self(), r.Readers() })
 		for _, reader := range readers {
 			go func() {
-				if err := n.peers.call(reader.PeerAddr, methodTell, self, new(struct{}), peerTimeout); err != nil {
-					n.log.Line(time.Now(), "reader.not_told", "reader", string(reader.Host), "error", err.Error())
+				if err := n.peers.call(reader.PeerAddr, methodNotify, self, new(struct{}), peerTimeout); err != nil {
+					n.log.Line(time.Now(), "reader.not_notified", "reader", string(reader.Host), "error", err.Error())
 				}
 			}()
 		}
-		pause(ctx, tellPause)
+		pause(ctx, notifyPause)
 	}
 }
 
 // followReader keeps this node's replicas by following a reader of its failure
 // domain, and decides whether it reads the store itself.
 func (n *Node) followReader(ctx context.Context) {
-	var selfUntil, probeAt time.Time
+	var probeAt time.Time
 	for ctx.Err() == nil {
 		var role proxy.Role
 		n.inspect(func(r *proxy.Node) { role = r.Role() })
-		if role.Reads || time.Now().Before(selfUntil) {
+		if role.Reads || n.substitutes() {
 			n.follower.Store(false)
 			pause(ctx, readerCheck)
 			continue
 		}
 		reader := role.Reader
-		alive, err := n.awaitReader(reader)
+		alive, err := n.awaitReader(ctx, reader)
 		if err != nil {
 			// Another host becomes the reader until an exchange with this one succeeds.
 			n.log.Line(time.Now(), "reader.lost", "reader", string(reader.Host), "error", err.Error())
@@ -172,22 +172,31 @@
 		}
 		probeAt = time.Now().Add(probeInterval/2 + rand.N(probeInterval))
 		if n.probeStore(ctx) {
-			selfUntil = time.Now().Add(selfReadTime)
+			n.substituteUntil.Store(int64(time.Since(n.started) + selfReadTime))
 		}
 	}
 }
 
+// substitutes reports whether this node reads the store in place of its reader.
+func (n *Node) substitutes() bool {
+	return time.Since(n.started) < time.Duration(n.substituteUntil.Load())
+}
+
 // awaitReader asks a reader for news and waits for it, but for a node that has
-// just started: it lacks the rows and must not lose time to a silent reader.
-func (n *Node) awaitReader(reader proxy.Member) (storeAlive bool, err error) {
+// just started: it lacks the rows and must not lose time to a silent reader. A
+// reader that has started with it counts as alive while it may still be loading.
+func (n *Node) awaitReader(ctx context.Context, reader proxy.Member) (storeAlive bool, err error) {
 	if n.loaded() {
 		return n.peers.await(reader)
 	}
 	news, err := n.peers.ask(reader.PeerAddr, methodExchange, peerTimeout)
-	if err == nil && !n.loaded() {
-		pause(context.Background(), probePause) // the reader has just started too
+	if err != nil {
+		return false, err
+	}
+	if !n.loaded() {
+		pause(ctx, probePause)
 	}
-	return news.StoreAlive || err == nil && !n.loaded(), err
+	return news.StoreAlive || !news.Loaded && time.Since(n.started) < aloneTime, nil
 }
 
 // probeStore makes one call to the store and reports whether it answers.
--- a/internal/sidecar/reader_test.go
+++ b/internal/sidecar/reader_test.go
@@ -55,6 +55,18 @@
 	is.True(!n.reads(TableShared))
 }
 
+// Guards against a failure domain that starts without a configuration because the
+// store turns its reader away: a substitute reads all tables.
+func TestSubstituteReadsAllTables(t *testing.T) {
+	is := is.New(t)
+	n, err := New(Settings{Host: "b", Domain: "d", PeerAddr: "b:2"}, fakePlatform{}, NewLog(io.Discard))
+	is.NoErr(err)
+	n.step(proxy.MembersSeen{Members: []proxy.Member{member("a")}})
+	is.True(!n.reads(TableOperator))
+	n.substituteUntil.Store(int64(time.Hour))
+	is.True(n.reads(TableOperator))
+}
+
 // Guards against followers that learn a change of another host only when their
 // poll ends.
 func TestFollowersLearnOfAChangeAtOnce(t *testing.T) {
@@ -76,7 +88,7 @@
 		}
 		done <- news
 	}()
-	is.NoErr(service.Tell(member("c"), nil))
+	is.NoErr(service.Notify(member("c"), nil))
 	news := <-done
 	is.True(time.Since(began) < mismatchHold)
 	is.True(len(news.Members) > 0)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -48,15 +48,18 @@
 	calls   map[mesh.CallID]chan proxy.CallEffect
 	gates   map[mesh.CallID]chan proxy.GateEffect
 
-	peers     *peerSet
-	replicas  [2]*replica   // by Table
-	announced chan struct{} // the record of this host has changed and is to be stored
-	told      chan struct{} // the same for telling it to readers
-	rollouts  chan rolloutWrite
+	peers         *peerSet
+	replicas      [2]*replica   // by Table
+	announced     chan struct{} // this host's record has changed: its row is to be written
+	recordChanged chan struct{} // the same: readers are to be notified
+	rollouts      chan rolloutWrite
 	// changed wakes the nodes that follow this one.
 	changed broadcast
 	// follower is set while this node follows a reader.
 	follower atomic.Bool
+	// substituteUntil is the time, in ns since the start, until which this node reads
+	// the store in place of its reader.
+	substituteUntil atomic.Int64
 	// answers tells by table whether the store has answered the last call.
 	answers [2]atomic.Bool
 
@@ -78,7 +81,7 @@
 	n := &Node{
 		settings: s, platform: p, headers: p.Headers(), log: log, started: time.Now(),
 		calls: make(map[mesh.CallID]chan proxy.CallEffect), gates: make(map[mesh.CallID]chan proxy.GateEffect),
-		hosts: make(map[string]*upstream.Pool), announced: make(chan struct{}, 1), told: make(chan struct{}, 1), rollouts: make(chan rolloutWrite, rolloutQueue),
+		hosts: make(map[string]*upstream.Pool), announced: make(chan struct{}, 1), recordChanged: make(chan struct{}, 1), rollouts: make(chan rolloutWrite, rolloutQueue),
 	}
 	n.epoch = mesh.Time(n.started.UnixNano())
 	n.hostOpts = hostOptions()
@@ -151,7 +154,7 @@
 	}
 	if n.out.Announce {
 		signal(n.announced)
-		signal(n.told)
+		signal(n.recordChanged)
 	}
 	if n.out.MembersChanged {
 		n.membersAt.Store(int64(time.Since(n.started)))
@@ -236,7 +239,7 @@
 	go n.follow(ctx, TableShared)
 	go n.followReader(ctx)
 	go n.announce(ctx)
-	go n.tellReaders(ctx)
+	go n.notifyReaders(ctx)
 	go n.writeRollouts(ctx)
 	go n.gossip(ctx)
 }
