Read the operator's rows without the reader after a restart of many hosts

Nodes took up to 1.7 s more to apply a configuration, and 474 requests were refused for want of one: the rows name hosts that are gone, and a node asked one after the other of them as its reader, 0.4 s each (reader.lost, 28 times at 40.0 s). Ruled out: the store, which answered all reads.

A node whose first read has found other hosts and that lacks the operator's rows 100 ms later reads them itself: one more call for each such node. Test: TestRestartedNodeDoesNotWaitForItsReader, failing before by its new case.

--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -40,6 +40,12 @@
 	// firstStartPause is the pause of a node that finds no other host: all start
 	// together, and their rows come with one call after it.
 	firstStartPause = 1500 * time.Millisecond
+	// operatorPatience is the time after which a node that knows other hosts reads
+	// the operator's rows itself. A reader that runs answers within milliseconds.
+	operatorPatience = 100 * time.Millisecond
+	// startCheck is the period at which a node that doesn't read a table checks
+	// whether it should.
+	startCheck = 50 * time.Millisecond
 	// memberPrefix and rolloutPrefix start the keys of the rows of TableShared.
 	memberPrefix  = "member/"
 	rolloutPrefix = "rollout/"
@@ -56,7 +62,7 @@
 	var after platform.Revision
 	for ctx.Err() == nil {
 		if !n.reads(t) {
-			pause(ctx, readerCheck)
+			pause(ctx, startCheck)
 			continue
 		}
 		var err error
@@ -93,6 +99,9 @@
 // rows. A node that finds no other host reads them too, once others that have
 // started with it would have announced themselves.
 func (n *Node) reads(t Table) bool {
+	if t == TableOperator && n.waitsTooLong() {
+		return true
+	}
 	if n.follower.Load() {
 		return false
 	}
@@ -104,6 +113,14 @@
 	return reader && (!alone || time.Since(n.started) > aloneTime)
 }
 
+// waitsTooLong reports whether a node that has found other hosts still lacks the
+// operator's rows. After a restart of many hosts its reader may be one that is
+// gone, or not ready yet.
+func (n *Node) waitsTooLong() bool {
+	found := time.Duration(n.foundHostsAt.Load())
+	return found > 0 && !n.replicas[TableOperator].isLoaded() && time.Since(n.started)-found > operatorPatience
+}
+
 // sharedPause returns the pause after changes of the shared rows, so that the rows
 // of many hosts that change together come in few calls.
 func (n *Node) sharedPause() time.Duration {
@@ -154,6 +171,11 @@
 	}
 	n.take(t, changes, revision)
 	n.replicas[t].setLoaded()
+	alone := true
+	n.inspect(func(r *proxy.Node) { alone = r.Alone() })
+	if t == TableShared && !alone {
+		n.foundHostsAt.CompareAndSwap(0, int64(time.Since(n.started)))
+	}
 	return revision, nil
 }
 
--- a/internal/sidecar/reader_test.go
+++ b/internal/sidecar/reader_test.go
@@ -93,3 +93,21 @@
 	is.True(time.Since(began) < mismatchHold)
 	is.True(len(news.Members) > 0)
 }
+
+// Guards against nodes without a configuration for a second and more after all
+// processes have ended (incident inc-2dc9): the rows name hosts that are gone, and
+// one of them may be the reader.
+func TestRestartedNodeDoesNotWaitForItsReader(t *testing.T) {
+	is := is.New(t)
+	n, err := New(Settings{Host: "b", Domain: "d", PeerAddr: "b:2"}, fakePlatform{}, NewLog(io.Discard))
+	is.NoErr(err)
+	n.step(proxy.MembersSeen{Members: []proxy.Member{member("a")}})
+	n.started = n.started.Add(-time.Second)
+	n.foundHostsAt.Store(int64(time.Second))
+	is.True(!n.reads(TableOperator)) // the reader is being asked
+	n.started = n.started.Add(-operatorPatience)
+	n.follower.Store(true)
+	is.True(n.reads(TableOperator))
+	n.replicas[TableOperator].setLoaded()
+	is.True(!n.reads(TableOperator))
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -57,6 +57,9 @@
 	changed broadcast
 	// follower is set while this node follows a reader.
 	follower atomic.Bool
+	// foundHostsAt is the time, in ns since the start, at which the first read of the
+	// shared rows found other hosts; zero if it found none.
+	foundHostsAt atomic.Int64
 	// substituteUntil is the time, in ns since the start, until which this node reads
 	// the store in place of its reader.
 	substituteUntil atomic.Int64
