--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -43,8 +43,8 @@
 	// operatorPatience is the time after which a node that knows other hosts reads
 	// the operator's rows itself. A reader that runs answers within milliseconds.
 	operatorPatience = 100 * time.Millisecond
-	// startCheck is the period at which a node that doesn't read a table checks
-	// whether it should.
+	// startCheck is the period at which a node that lacks a table checks whether it
+	// should read it.
 	startCheck = 50 * time.Millisecond
 	// memberPrefix and rolloutPrefix start the keys of the rows of TableShared.
 	memberPrefix  = "member/"
@@ -62,7 +62,11 @@
 	var after platform.Revision
 	for ctx.Err() == nil {
 		if !n.reads(t) {
-			pause(ctx, startCheck)
+			check := readerCheck
+			if !n.replicas[t].isLoaded() {
+				check = startCheck
+			}
+			pause(ctx, check)
 			continue
 		}
 		var err error
