Bound the memory and time that servers without an end take

Closing a body that was too large went on reading it until the time limit. A stated length of 16 MB was allocated before a byte came. Hosts have 184 MB.

Heads end at 32 KB, bodies in chunks at eight bytes on the wire for each one of content. Bodies of requests and answers in progress share an eighth of the host's memory (package membudget); one may hold no more than what stays free, so that endless ones leave room to ordinary ones. Buffers grow as bytes arrive. A connection is closed as soon as a bound is passed. Messages between nodes are bounded too, and the heap has a soft limit of three quarters of the memory.

Ruled out: a fixed share for each answer, which ten downloads at a time of a slow link would pass.

--- a/cmd/chicory-sidecar/main.go
+++ b/cmd/chicory-sidecar/main.go
@@ -55,6 +55,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(settings.HeapBytes())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	log := sidecar.NewLog(os.Stdout)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -94,12 +94,13 @@
 func (n *Node) serveForward(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	body, err := n.readBody(w, r)
+	content, err := n.readBody(w, r)
 	if err != nil {
 		n.refuseBody(w, r, err)
 		return
 	}
-	f, ok := decodeForwarded(r, body, n.now())
+	defer content.Release()
+	f, ok := decodeForwarded(r, content.Bytes(), n.now())
 	if !ok {
 		n.log.Line(time.Now(), "gate.bad_request", "remote", r.RemoteAddr)
 		w.WriteHeader(http.StatusBadRequest)
@@ -122,13 +123,13 @@
 	}
 	a.backlog = n.link.Backlog()
 	a.encode(w.Header())
-	var content egress.Content = egress.NewBytes(nil)
+	var answer egress.Content = egress.NewBytes(nil)
 	if a.response != nil {
-		content = a.response.Content()
+		answer = a.response.Content()
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(content.Len()))
+	w.Header().Set("Content-Length", strconv.Itoa(answer.Len()))
 	w.WriteHeader(status)
-	if err := n.link.Send(r.Context(), w, content, http.NewResponseController(w).Flush); err != nil {
+	if err := n.link.Send(r.Context(), w, answer, http.NewResponseController(w).Flush); err != nil {
 		n.log.Line(time.Now(), "gate.write_failed", "remote", r.RemoteAddr, "error", err.Error())
 	}
 }
@@ -158,7 +159,7 @@
 			a.waited = waited
 			return a
 		}
-		n.logGate(f, id, "rejected", e.Reason, e.Load, 0)
+		n.logGate(f, id, "rejected", e.Reason, e.Load, 0, nil)
 		return gateAnswer{outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, crashes: e.Crashes}
 	case <-ctx.Done():
 	}
@@ -175,11 +176,11 @@
 
 // logGate writes a line for a decision of the gate. A free slot decides nothing,
 // so only rejections and failures are logged.
-func (n *Node) logGate(f *forwarded, id mesh.CallID, result string, reason mesh.Reason, load mesh.Load, took time.Duration) {
+func (n *Node) logGate(f *forwarded, id mesh.CallID, result string, reason mesh.Reason, load mesh.Load, took time.Duration, cause error) {
 	n.log.Line(time.Now(), "gate."+result, "gate_call", uint64(id), "request", f.header.Get(n.headers.Identity),
 		"instance", string(f.instance), "route", string(f.route), "reason", reason.String(), "may_queue", f.mayQueue,
 		"slots", load.Slots, "in_use", load.InUse, "queued", load.Queued, "left_ms", f.deadline.Sub(n.now()).Milliseconds(),
-		"took_ms", took.Milliseconds())
+		"took_ms", took.Milliseconds(), "error", errorText(cause))
 }
 
 // dispatch gives an admitted request to the instance.
@@ -208,7 +209,7 @@
 	a.duration = time.Since(began)
 	n.metrics.gate(done.Result, time.Since(began))
 	if done.Result != proxy.GateAnswered {
-		n.logGate(f, id, gateResultNames[done.Result], a.reason, a.load, time.Since(began))
+		n.logGate(f, id, gateResultNames[done.Result], a.reason, a.load, time.Since(began), err)
 	}
 	return a
 }
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -12,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
+	"github.com/chicoryscale/chicoryscale/internal/membudget"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 	"github.com/chicoryscale/chicoryscale/internal/upstream"
@@ -42,11 +42,13 @@
 	if n.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	body, err := n.readBody(w, r)
+	content, err := n.readBody(w, r)
 	if err != nil {
 		n.refuseBody(w, r, err)
 		return
 	}
+	defer content.Release()
+	body := content.Bytes()
 	req := &request{
 		node: n, id: mesh.CallID(n.nextID.Add(1)), http: r, body: body,
 		print: fingerprint(r.Method, r.RequestURI, body), effects: make(chan proxy.CallEffect, waiterEffects),
@@ -71,25 +73,40 @@
 		"to", string(outcome.host), "instance", string(outcome.instance), "ms", time.Since(began).Milliseconds())
 }
 
-func (n *Node) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+// readBody reads the body of a request. It holds memory of the node's budget until
+// it is released.
+func (n *Node) readBody(w http.ResponseWriter, r *http.Request) (*membudget.Buffer, error) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
-		return nil, nil
+		return n.memory.NewBuffer(0), nil
 	}
-	limit := int64(defaultBodyBytes)
+	limit := defaultBodyBytes
 	n.inspect(func(p *proxy.Node) {
 		if c := p.Config(); c != nil && c.Limits.BodyBytes > 0 {
-			limit = int64(c.Limits.BodyBytes)
+			limit = c.Limits.BodyBytes
 		}
 	})
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	return n.memory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), limit)
 }
 
-// refuseBody answers a request whose body could not be read.
+// bodyRetryAfter is the advice to a client whose body found no memory, in seconds.
+// What holds the memory is delivered or given up within a second.
+const bodyRetryAfter = "1"
+
+// refuseBody answers a request whose body could not be read. None of it has left
+// this process.
 func (n *Node) refuseBody(w http.ResponseWriter, r *http.Request, err error) {
 	status := http.StatusBadRequest
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		status = http.StatusRequestEntityTooLarge
+	case errors.Is(err, membudget.ErrExhausted):
+		status = http.StatusServiceUnavailable
+		w.Header().Set(n.headers.RetryAfter, bodyRetryAfter)
+		refused := gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonOverload}
+		if r.Header.Get(headerCall) != "" {
+			refused.encode(w.Header())
+		}
 	}
 	n.log.Line(time.Now(), "call.body_unreadable", "request", r.Header.Get(n.headers.Identity), "status", status, "error", err.Error())
 	w.WriteHeader(status)
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -207,7 +207,7 @@
 	if err != nil {
 		return nil, err
 	}
-	client = rpc.NewClient(c)
+	client = rpc.NewClient(&boundedConn{Conn: c})
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if other := p.clients[addr]; other != nil { // opened at the same time
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -152,7 +152,7 @@
 			conns.add(c)
 			go func() {
 				defer conns.remove(c)
-				rpcServer.ServeConn(c)
+				rpcServer.ServeConn(&boundedConn{Conn: c})
 			}()
 		}
 	}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
@@ -39,4 +40,28 @@
 	Repeats retry.WindowBudget
 	// LinkMbps is the bandwidth of the host.
 	LinkMbps int
+	// MemoryBytes is the memory that the process may use. Zero stands for
+	// defaultMemoryBytes.
+	MemoryBytes int
 }
+
+const (
+	// defaultMemoryBytes is the memory of a small host.
+	defaultMemoryBytes = 184 << 20
+	// contentPart is the part of the memory for the bodies of requests and answers
+	// in progress. Growing buffers and the garbage of earlier ones take as much again.
+	contentPart = 0.125
+	// heapPart is the part of the memory at which the garbage collector works
+	// harder, whatever it takes. The rest is for stacks and the kernel's buffers.
+	heapPart = 0.75
+)
+
+func (s *Settings) memory() float64 {
+	return float64(cmp.Or(s.MemoryBytes, defaultMemoryBytes))
+}
+
+// ContentBytes returns the memory for bodies of requests and answers in progress.
+func (s *Settings) ContentBytes() int { return int(contentPart * s.memory()) }
+
+// HeapBytes returns the soft limit of the heap.
+func (s *Settings) HeapBytes() int64 { return int64(heapPart * s.memory()) }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/egress"
+	"github.com/chicoryscale/chicoryscale/internal/membudget"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 	"github.com/chicoryscale/chicoryscale/internal/upstream"
@@ -71,6 +72,7 @@
 	hostOpts upstream.Options
 	instance *upstream.Pool
 	link     *egress.Link
+	memory   *membudget.Budget // of bodies in progress
 
 	lastCall  atomic.Int64 // time of the last request of a client, in ns since the start
 	membersAt atomic.Int64 // the same for the last change of a member
@@ -87,9 +89,10 @@
 		hosts: make(map[string]*upstream.Pool), announced: make(chan struct{}, 1), recordChanged: make(chan struct{}, 1), rollouts: make(chan rolloutWrite, rolloutQueue),
 	}
 	n.epoch = mesh.Time(n.started.UnixNano())
-	n.hostOpts = hostOptions()
+	n.memory = membudget.New(s.ContentBytes())
+	n.hostOpts = hostOptions(n.memory)
 	n.link = egress.NewLink(s.LinkMbps)
-	n.instance = upstream.NewPool(s.InstanceAddr, instanceOptions(n.headers.Identity))
+	n.instance = upstream.NewPool(s.InstanceAddr, instanceOptions(n.headers.Identity, n.memory))
 	n.replicas = [2]*replica{newReplica(), newReplica()}
 	n.peers = newPeerSet(n)
 	n.reducer = proxy.New(n.now(), proxy.Settings{
@@ -104,18 +107,18 @@
 
 // hostOptions configure connections to other nodes. A request that is lost with
 // its connection is more expensive than a new connection, so all are kept long.
-func hostOptions() upstream.Options {
+func hostOptions(memory *membudget.Budget) upstream.Options {
 	return upstream.Options{
 		DialTimeout: 300 * time.Millisecond, UserTimeout: 400 * time.Millisecond, KeepAlive: time.Second,
-		IdleTime: 20 * time.Second, FreshTime: 20 * time.Second, MaxAnswerBytes: maxAnswerBytes, StreamBytes: egress.LargeBytes,
+		IdleTime: 20 * time.Second, FreshTime: 20 * time.Second, MaxAnswerBytes: maxAnswerBytes, Memory: memory, StreamBytes: egress.LargeBytes,
 	}
 }
 
 // instanceOptions configure connections to the instance on this host.
-func instanceOptions(identity string) *upstream.Options {
+func instanceOptions(identity string, memory *membudget.Budget) *upstream.Options {
 	return &upstream.Options{
 		DialTimeout: 300 * time.Millisecond, UserTimeout: 400 * time.Millisecond, KeepAlive: time.Second,
-		IdleTime: 7 * time.Second, FreshTime: time.Second, MaxAnswerBytes: maxAnswerBytes, IdentityHeader: identity,
+		IdleTime: 7 * time.Second, FreshTime: time.Second, MaxAnswerBytes: maxAnswerBytes, Memory: memory, IdentityHeader: identity,
 	}
 }
 
--- a/internal/upstream/body.go
+++ b/internal/upstream/body.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"sync"
+
+	"github.com/chicoryscale/chicoryscale/internal/membudget"
 )
 
 // Body is the content of a large answer while it arrives. Its bytes are read as
@@ -11,14 +13,14 @@
 type Body struct {
 	mu      sync.Mutex
 	arrived sync.Cond
-	data    []byte // whole size; the first received bytes are valid
-	got     int
+	buffer  *membudget.Buffer
+	size    int
 	taken   int
 	err     error
 }
 
-func newBody(size int) *Body {
-	b := &Body{data: make([]byte, size)}
+func newBody(size int, m *membudget.Budget) *Body {
+	b := &Body{size: size, buffer: m.NewBuffer(size)}
 	b.arrived.L = &b.mu
 	return b
 }
@@ -27,7 +29,7 @@
 func (b *Body) Len() int {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return len(b.data) - b.taken
+	return b.size - b.taken
 }
 
 // Next waits for the next bytes, at most the given number and fewer only at the
@@ -35,14 +37,14 @@
 func (b *Body) Next(most int) ([]byte, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	end := min(b.taken+most, len(b.data))
-	for b.got < end && b.err == nil {
+	end := min(b.taken+most, b.size)
+	for len(b.buffer.Bytes()) < end && b.err == nil {
 		b.arrived.Wait()
 	}
-	if b.got < end {
+	if len(b.buffer.Bytes()) < end {
 		return nil, b.err
 	}
-	piece := b.data[b.taken:end]
+	piece := b.buffer.Bytes()[b.taken:end]
 	b.taken = end
 	return piece, nil
 }
@@ -51,15 +53,15 @@
 func (b *Body) fill(r io.Reader) error {
 	for {
 		b.mu.Lock()
-		rest := b.data[b.got:]
+		rest, err := b.buffer.Room()
 		b.mu.Unlock()
-		if len(rest) == 0 {
-			return nil
+		if err != nil || len(rest) == 0 {
+			return err
 		}
 		n, err := r.Read(rest)
 		b.mu.Lock()
-		b.got += n
-		complete := b.got == len(b.data)
+		b.buffer.Received(n)
+		complete := len(b.buffer.Bytes()) == b.size
 		b.arrived.Broadcast()
 		b.mu.Unlock()
 		switch {
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,19 +11,32 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/membudget"
 )
 
 // readBufferBytes holds the head of most answers.
 const readBufferBytes = 4 << 10
 
-// maxForeignAnswers bounds the answers to earlier requests that are skipped on
-// one connection before it is given up.
-const maxForeignAnswers = 4
+const (
+	// maxForeignAnswers bounds the answers to earlier requests that are skipped on
+	// one connection before it is given up, and maxForeignBytes the body of each.
+	maxForeignAnswers = 4
+	maxForeignBytes   = 1 << 20
+	// maxHeadBytes bounds the status line and the headers of an answer. Those of
+	// backend servers have some hundred bytes.
+	maxHeadBytes = 32 << 10
+	// maxFraming bounds the bytes on the wire for each byte of a body in chunks,
+	// beyond framingBytes. A server that sends single bytes needs six.
+	maxFraming   = 8
+	framingBytes = 64 << 10
+)
 
 // conn is one connection to a server. One request uses it at a time.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	meter  *meter // below the reader
 	// idleSince is the time at which the last answer was complete.
 	idleSince time.Time
 	// idleLimit is the idle time after which the server may close it.
@@ -37,7 +50,35 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBufferBytes), idleLimit: o.IdleTime}, nil
+	m := &meter{source: c}
+	return &conn{Conn: c, reader: bufio.NewReaderSize(m, readBufferBytes), meter: m, idleLimit: o.IdleTime}, nil
+}
+
+// meter bounds the bytes that are read while a head is awaited: the parser of
+// net/http keeps lines and headers of any length.
+type meter struct {
+	source io.Reader
+	// left is the number of bytes that may be read while limited is set.
+	left    int
+	limited bool
+	total   int // bytes read since the connection was opened
+}
+
+func (m *meter) limit(bytes int) { m.left, m.limited = bytes, true }
+func (m *meter) unlimit()        { m.limited = false }
+
+// Read implements io.Reader.
+func (m *meter) Read(p []byte) (int, error) {
+	if m.limited {
+		if m.left == 0 {
+			return 0, errTooLarge
+		}
+		p = p[:min(len(p), m.left)]
+	}
+	n, err := m.source.Read(p)
+	m.left -= n
+	m.total += n
+	return n, err
 }
 
 // quiet reports whether an idle connection is open and holds no bytes. Bytes
@@ -69,6 +110,8 @@
 	resp *Response
 	// rest is the content of an answer that is still arriving, nil for others.
 	rest io.Reader
+	// content is that of an answer that was read.
+	content *membudget.Buffer
 	// wrote reports whether any byte of the request may have reached the server.
 	wrote bool
 	// reuse reports whether the connection may serve another request.
@@ -83,38 +126,66 @@
 		return exchanged{wrote: n > 0}, err
 	}
 	for range maxForeignAnswers {
-		answer, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		answer, err := c.readHead(r.Method)
 		if err != nil {
 			return exchanged{wrote: true}, err
 		}
-		if answer.ContentLength > int64(o.MaxAnswerBytes) {
-			return exchanged{wrote: true}, errTooLarge
-		}
-		own := answer.StatusCode >= http.StatusOK && r.owns(answer, o.IdentityHeader)
-		out := exchanged{wrote: true, resp: &Response{Status: answer.StatusCode, Header: answer.Header}}
-		framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
-		if own && o.StreamBytes > 0 && answer.ContentLength >= int64(o.StreamBytes) {
-			c.noteKeepAlive(answer.Header, o)
-			out.resp.Stream, out.rest = newBody(int(answer.ContentLength)), answer.Body
-			out.reuse = !answer.Close
-			return out, nil
-		}
-		if out.resp.Body, err = readBody(answer, o.MaxAnswerBytes); err != nil {
-			return exchanged{wrote: true}, err
-		}
-		if !own {
-			if answer.Close {
-				return exchanged{wrote: true}, errForeign
+		if answer.StatusCode < http.StatusOK || !r.owns(answer, o.IdentityHeader) {
+			if err := skip(answer); err != nil {
+				return exchanged{wrote: true}, err
 			}
 			continue
 		}
-		c.noteKeepAlive(answer.Header, o)
-		out.reuse = framed && !answer.Close && c.reader.Buffered() == 0
-		return out, nil
+		return c.readOwn(answer, o)
 	}
 	return exchanged{wrote: true}, errForeign
 }
 
+// readHead reads the status line and the headers of the next answer.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	c.meter.limit(maxHeadBytes)
+	defer c.meter.unlimit()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
+// skip reads an answer that belongs to another request.
+func skip(answer *http.Response) error {
+	if answer.Close || answer.ContentLength > maxForeignBytes {
+		return errForeign
+	}
+	n, err := io.Copy(io.Discard, io.LimitReader(answer.Body, maxForeignBytes+1))
+	if err == nil && n > maxForeignBytes {
+		err = errForeign
+	}
+	return err
+}
+
+// readOwn reads the content of the answer to this connection's request, unless it
+// is to be streamed. On any error the connection is closed with what is unread:
+// closing the body would read on until its end.
+func (c *conn) readOwn(answer *http.Response, o *Options) (exchanged, error) {
+	out := exchanged{wrote: true, resp: &Response{Status: answer.StatusCode, Header: answer.Header}}
+	if answer.ContentLength > int64(o.MaxAnswerBytes) {
+		return out, errTooLarge
+	}
+	c.noteKeepAlive(answer.Header, o)
+	if o.StreamBytes > 0 && answer.ContentLength >= int64(o.StreamBytes) {
+		out.resp.Stream, out.rest = newBody(int(answer.ContentLength), o.Memory), answer.Body
+		out.reuse = !answer.Close
+		return out, nil
+	}
+	length := o.MaxAnswerBytes + 1
+	if answer.ContentLength >= 0 {
+		length = int(answer.ContentLength)
+	}
+	out.content = o.Memory.NewBuffer(length)
+	err := c.readBody(answer.Body, out.content, o.MaxAnswerBytes)
+	out.resp.Body = out.content.Bytes()
+	framed := answer.ContentLength >= 0 || len(answer.TransferEncoding) > 0
+	out.reuse = err == nil && framed && !answer.Close && c.reader.Buffered() == 0
+	return out, err
+}
+
 var (
 	errForeign  = errors.New("answers belong to other requests")
 	errTooLarge = errors.New("answer exceeds the size limit")
@@ -127,18 +198,26 @@
 	return header == "" || echoed == "" || echoed == r.Header.Get(header)
 }
 
-func readBody(answer *http.Response, limit int) ([]byte, error) {
-	defer func() { _ = answer.Body.Close() }() // the connection is closed on any error
-	if answer.ContentLength >= 0 {
-		body := make([]byte, answer.ContentLength)
-		_, err := io.ReadFull(answer.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, int64(limit)+1))
-	if err == nil && len(body) > limit {
-		err = errTooLarge
+// readBody reads a body to its end, which is that of its stated length if there is
+// one.
+func (c *conn) readBody(body io.Reader, content *membudget.Buffer, limit int) error {
+	began := c.meter.total
+	for {
+		room, err := content.Room()
+		if err != nil || len(room) == 0 {
+			return err
+		}
+		n, err := body.Read(room)
+		content.Received(n)
+		switch {
+		case len(content.Bytes()) > limit, c.meter.total-began > maxFraming*len(content.Bytes())+framingBytes:
+			return errTooLarge
+		case errors.Is(err, io.EOF):
+			return nil
+		case err != nil:
+			return err
+		}
 	}
-	return body, err
 }
 
 // idleShare is the part of the server's idle time-out after which a connection
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/chicoryscale/chicoryscale/internal/egress"
+	"github.com/chicoryscale/chicoryscale/internal/membudget"
 )
 
 var (
@@ -52,6 +53,9 @@
 	FreshTime time.Duration
 	// MaxAnswerBytes bounds the body of an answer.
 	MaxAnswerBytes int
+	// Memory bounds the bytes that answers hold until the contexts of their requests
+	// end. It is shared by the pools of a process; nil stands for no bound.
+	Memory *membudget.Budget
 	// StreamBytes is the size from which an answer is given out while it arrives.
 	// Zero stands for never.
 	StreamBytes int
@@ -148,9 +152,11 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	out, err := c.exchange(r, p.options)
 	if err == nil && out.rest != nil {
+		context.AfterFunc(ctx, out.resp.Stream.buffer.Release)
 		go p.stream(c, &out, stop)
 		return out.resp, nil
 	}
+	out.hold(ctx, err)
 	p.release(c, out.reuse && err == nil, stop)
 	switch {
 	case err == nil:
@@ -161,13 +167,26 @@
 	return nil, ErrNotSent.Wrap(err, "write to %s", p.addr)
 }
 
+// hold keeps the memory of the content until the context ends, or gives it back now
+// if the content is of no use.
+func (e *exchanged) hold(ctx context.Context, err error) {
+	switch {
+	case e.content == nil || !e.content.Counted():
+	case err != nil:
+		e.content.Release()
+	default:
+		context.AfterFunc(ctx, e.content.Release)
+	}
+}
+
 // stream reads the content of an answer to its end.
 func (p *Pool) stream(c *conn, out *exchanged, stop func() bool) {
 	err := out.resp.Stream.fill(out.rest)
+	p.release(c, err == nil && out.reuse && c.reader.Buffered() == 0, stop)
 	if err != nil {
+		out.resp.Stream.buffer.Release() // what has come is dropped with the request
 		out.resp.Stream.fail(ErrLost.Wrap(err, "read the answer of %s", p.addr))
 	}
-	p.release(c, err == nil && out.reuse && c.reader.Buffered() == 0, stop)
 }
 
 // release gives a connection back, or closes it if it is of no more use or if the
