Keep an instance that has left out of use after a restart of its node

Cause, read in the code and shown by a test with real processes: a node acknowledges a heartbeat that says draining, or a leave, as soon as its reducer has it, and writes its row at most every 3 s. A node that was killed in between adopted the instance again from the older row, and an instance that leaves without draining says nothing more.

A node that starts now adopts nothing without a word of the instance itself: one health probe, whose path the configuration names. Records name the start of the instance and whether it has left, a peer returns the record that it had of the asking host's earlier process, and a late heartbeat doesn't bring a leaver back. Cost: one probe for each start of a node.

Ruled out: to acknowledge only once the store has the row, which leaves instances without an acknowledgement in an outage of the store; to wait for the next heartbeat, which leaves all instances unused for up to 1.5 s after a restart of all nodes (TestRestartedNodeServesBeforeTheNextHeartbeat).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -49,6 +49,8 @@
 	Name mesh.Service
 	// MaxConnections bounds the connections of one instance from all callers.
 	MaxConnections int
+	// HealthPath is where an instance tells whether it serves. Empty stands for none.
+	HealthPath string
 }
 
 // ClientLimits bound what a client may send. Zero stands for no limit.
@@ -143,11 +145,21 @@
 }
 
 // Has reports whether the snapshot holds the service.
-func (s *Snapshot) Has(name mesh.Service) bool {
+func (s *Snapshot) Has(name mesh.Service) bool { return s.service(name) != nil }
+
+// HealthPath returns the health path of a service, empty if it has none.
+func (s *Snapshot) HealthPath(name mesh.Service) string {
+	if service := s.service(name); service != nil {
+		return service.HealthPath
+	}
+	return ""
+}
+
+func (s *Snapshot) service(name mesh.Service) *Service {
 	for i := range s.Services {
 		if s.Services[i].Name == name {
-			return true
+			return &s.Services[i]
 		}
 	}
-	return false
+	return nil
 }
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -118,8 +118,19 @@
 	WarmUp time.Duration
 }
 
+// InstanceProbed is the result of an InstanceProbe.
+type InstanceProbed struct {
+	ID mesh.InstanceID
+	// Serving is set if this instance has answered that it serves.
+	Serving bool
+}
+
 // InstanceLeft reports that the instance is about to exit.
-type InstanceLeft struct{ ID mesh.InstanceID }
+type InstanceLeft struct {
+	ID mesh.InstanceID
+	// Born is the start time of the instance, zero if it states none.
+	Born int64
+}
 
 // ConfigurationSeen is a configuration from the store or from a peer.
 type ConfigurationSeen struct{ Snapshot *catalog.Snapshot }
@@ -167,6 +178,7 @@
 	Gates    []GateEffect
 	Records  []Record
 	Checks   []PeerCheck
+	Probes   []InstanceProbe
 	Evidence []EvidenceReport
 	Writes   []rollout.Write
 	// Removals are hosts whose rows are to be removed.
@@ -180,7 +192,7 @@
 // Reset empties the effects and keeps their memory.
 func (r *Ready) Reset() {
 	r.Calls, r.Gates, r.Records = r.Calls[:0], r.Gates[:0], r.Records[:0]
-	r.Checks, r.Evidence, r.Writes = r.Checks[:0], r.Evidence[:0], r.Writes[:0]
+	r.Checks, r.Probes, r.Evidence, r.Writes = r.Checks[:0], r.Probes[:0], r.Evidence[:0], r.Writes[:0]
 	r.Removals, r.Announce, r.MembersChanged = r.Removals[:0], false, false
 }
 
@@ -249,6 +261,12 @@
 	Addr string
 }
 
+// InstanceProbe asks the instance on this host whether it serves.
+type InstanceProbe struct {
+	ID   mesh.InstanceID
+	Path string
+}
+
 // EvidenceReport is to be sent to the driver of a roll-out.
 type EvidenceReport struct {
 	Addr     string
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -203,7 +203,7 @@
 	}
 	was := *l
 	l.service, l.version, l.slots, l.sequence = e.Service, e.Version, max(e.Slots, 1), e.Sequence
-	l.draining, l.down = e.Draining || l.draining && !fresh, false
+	l.draining, l.down = e.Draining || l.draining && !fresh || n.hasLeft(e.ID, e.Born), false
 	l.warmAt = s.now.Add(e.WarmUp)
 	n.gateOut = n.gate.SetInstance(s.now, admission.Instance{ID: l.id, Slots: l.slots, Draining: l.draining || l.left}, n.gateOut)
 	if fresh || was.version != l.version || was.slots != l.slots || was.draining != l.draining || was.down != l.down || was.service != l.service {
@@ -213,18 +213,6 @@
 	}
 }
 
-// adopt takes over the instance that an earlier process of this node has
-// announced, so that requests need not wait for its next heartbeat. If another
-// instance holds the address by now, it refuses the requests.
-func (n *Node) adopt(s *step, i *MemberInstance) {
-	if i == nil || i.Closed || n.local.id != "" || n.settings.Service != "" && i.Service != n.settings.Service {
-		return
-	}
-	n.local = localInstance{id: i.ID, service: i.Service, version: i.Version, slots: max(i.Slots, 1), adopted: true}
-	n.gateOut = n.gate.SetInstance(s.now, admission.Instance{ID: i.ID, Slots: n.local.slots}, n.gateOut)
-	s.record("instance.adopted", "instance", string(i.ID), "service", string(i.Service), "version", string(i.Version), "slots", i.Slots)
-}
-
 // acceptsReport tells a heartbeat of the present instance, or of its successor,
 // from one that is late or names no instance of this host.
 func (n *Node) acceptsReport(e *InstanceReported) bool {
@@ -242,11 +230,15 @@
 }
 
 func (e InstanceLeft) apply(n *Node, s *step) {
+	if n.local.id == "" {
+		n.noteLeft(s, leftUnknown(s.now, e))
+		return
+	}
 	if e.ID != n.local.id || n.local.left {
 		return
 	}
 	n.local.left = true
-	s.record("instance.left", "instance", string(e.ID))
+	s.record("instance.left", "instance", string(e.ID), "known", true)
 	n.gateOut = n.gate.SetInstance(s.now, admission.Instance{ID: e.ID, Slots: n.local.slots, Draining: true}, n.gateOut)
 	n.announceSelf(s)
 }
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -52,6 +52,10 @@
 	Slots   uint16              `json:"slots"`
 	// Closed is set while the gate takes no request for the instance.
 	Closed bool `json:"closed,omitempty"`
+	// Left is set once the instance has said that it takes no new work.
+	Left bool `json:"left,omitempty"`
+	// Born is the start time that the instance states, zero if it states none.
+	Born int64 `json:"born,omitempty"`
 	// WarmUpMillis is the time for which the instance stays slow.
 	WarmUpMillis int64 `json:"warm_up_ms,omitempty"`
 }
@@ -120,10 +124,11 @@
 // announceSelf publishes the present state of this host.
 func (n *Node) announceSelf(s *step) {
 	n.self.Sequence++
-	n.self.Instance = nil
+	n.self.Instance = n.earlier.left
 	if l := &n.local; l.id != "" {
 		n.self.Instance = &MemberInstance{
 			ID: l.id, Service: l.service, Version: l.version, Slots: l.slots, Closed: l.draining || l.left || l.down,
+			Left: l.draining || l.left, Born: l.born,
 			WarmUpMillis: max(l.warmAt.Sub(s.now).Milliseconds(), 0),
 		}
 	}
@@ -170,22 +175,6 @@
 	return string(m.Instance.ID)
 }
 
-// raise takes in a record of this host by an earlier process: it adopts the
-// instance and moves the own incarnation past that of the record, since the time
-// of day that incarnations start from may have been set back.
-func (n *Node) raise(s *step, m *Member) {
-	if m.Incarnation == n.self.Incarnation && m.Sequence <= n.self.Sequence {
-		return
-	}
-	known := n.local.id
-	n.adopt(s, m.Instance)
-	if m.Incarnation < n.self.Incarnation && n.local.id == known {
-		return
-	}
-	n.self.Incarnation = max(n.self.Incarnation, m.Incarnation+1)
-	n.announceSelf(s)
-}
-
 func (e MemberRemoved) apply(n *Node, s *step) {
 	if m := n.members[e.Host]; m != nil && e.Host != n.settings.Host {
 		n.forget(s, m, "row removed")
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -56,6 +56,7 @@
 	members map[mesh.HostID]*member
 	seen    map[mesh.InstanceID]mesh.Time // first announcement of each instance
 	local   localInstance
+	earlier predecessor
 	// membersChanged asks for a new routing table at the end of the step.
 	membersChanged bool
 
@@ -174,6 +175,7 @@
 	}
 	n.splits = kept
 	s.record("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
+	n.probeEarlier(s)
 	if len(n.waiting) > 0 {
 		n.updateRouting(s) // members that are new in this step too
 		n.beginWaiting(s)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -238,6 +238,26 @@
 	return a, proxy.GateLost, n.instance.Refuses()
 }
 
+// probeTimeout bounds the answer to a health probe, which waits for a slot like a
+// request. The next heartbeat comes soon after it.
+const probeTimeout = 700 * time.Millisecond
+
+// probeInstance asks the instance on this host whether it serves.
+func (n *Node) probeInstance(ctx context.Context, p proxy.InstanceProbe) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	resp, err := n.instance.Do(ctx, &upstream.Request{
+		Method: http.MethodGet, Target: p.Path, Host: n.settings.InstanceAddr, Header: http.Header{}, Fragile: true,
+	})
+	if err != nil {
+		n.log.Line(time.Now(), "instance.probe_failed", "instance", string(p.ID), "error", err.Error())
+	}
+	n.step(proxy.InstanceProbed{
+		ID:      p.ID,
+		Serving: err == nil && resp.Status == http.StatusOK && resp.Header.Get(n.headers.Instance) == string(p.ID),
+	})
+}
+
 // readInstance reads what an instance's answer means.
 func (n *Node) readInstance(resp *upstream.Response) (gateAnswer, proxy.GateResult) {
 	signed := resp.Header.Get(n.headers.Signature) != ""
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -49,6 +49,9 @@
 type News struct {
 	Self    proxy.Member
 	Members []proxy.Member
+	// Earlier is the record of the asking host by its earlier process, which only
+	// this peer may still know. Its host is empty if there is none.
+	Earlier proxy.Member
 	// Known is a hash over the members of the peer.
 	Known    uint64
 	Operator []Packed
@@ -69,6 +72,11 @@
 // Exchange answers a digest with news.
 func (s *PeerService) Exchange(d Digest, out *News) error {
 	n := s.node
+	n.inspect(func(r *proxy.Node) {
+		if earlier := r.Earlier(&d.Self); earlier.Host != "" { // Await asks twice
+			out.Earlier = earlier
+		}
+	})
 	n.step(proxy.MembersSeen{Members: []proxy.Member{d.Self}})
 	n.step(proxy.PeerChecked{Host: d.Self.Host, Alive: true})
 	n.inspect(func(r *proxy.Node) {
@@ -142,7 +150,7 @@
 	if err := p.call(addr, method, d, &news, timeout); err != nil {
 		return news, err
 	}
-	n.step(proxy.MembersSeen{Members: append(news.Members, news.Self)})
+	n.step(proxy.MembersSeen{Members: append(news.Members, news.Self, news.Earlier)})
 	n.step(proxy.PoisonSeen{Entries: news.Poison})
 	operator, err := unpackAll(news.Operator)
 	if err != nil {
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -88,6 +88,8 @@
 	Caller string
 	// RetryAfter is the time after which a client may come back, in seconds.
 	RetryAfter string
+	// Instance is the name of the instance that answers a health probe.
+	Instance string
 }
 
 // ControlCall is a call of the instance on this host to its node. Exactly one
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -149,6 +149,9 @@
 	for i := range n.out.Checks {
 		n.peers.check(n.out.Checks[i])
 	}
+	for _, p := range n.out.Probes {
+		go n.probeInstance(context.Background(), p)
+	}
 	for i := range n.out.Evidence {
 		n.peers.report(n.out.Evidence[i])
 	}
--- /dev/null
+++ b/internal/soak/restart_test.go
@@ -0,0 +1,134 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/platform/standin"
+)
+
+// buildProgram builds the sidecar once for all tests.
+var buildProgram = sync.OnceValues(func() (string, error) {
+	path, err := filepath.Abs(filepath.Join(programDir, "chicory-sidecar"))
+	if err != nil {
+		return "", err
+	}
+	return path, exec.Command("go", "build", "-o", path, "../../cmd/chicory-sidecar").Run()
+})
+
+// processes is a deployment of real processes with callers.
+type processes struct {
+	*testing.T
+	*deployment
+}
+
+// startProcesses starts hosts as processes. The seed chooses their addresses, which
+// no other test may use.
+func startProcesses(t *testing.T, seed uint64, hosts int) *processes {
+	t.Helper()
+	program, err := buildProgram()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d, err := newDeployment(Options{Seed: seed, Hosts: hosts, Program: program, Dir: t.TempDir()}, newLedger(seed))
+	if d != nil {
+		t.Cleanup(d.close)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !d.awaitReady(t.Context(), 2*settle) {
+		t.Fatal("not all nodes are ready")
+	}
+	var callers sync.WaitGroup
+	for _, h := range d.hosts {
+		callers.Go(func() { d.call(t.Context(), h, 0) }) // the context ends before the clean-up
+	}
+	t.Cleanup(callers.Wait)
+	return &processes{T: t, deployment: d}
+}
+
+// drainTime is the time after an acknowledged leave in which requests may still
+// reach the instance.
+const drainTime = 2 * time.Second
+
+// Guards against an instance that is in use again after its node was killed right
+// after it had acknowledged that the instance leaves. The row of the host is older
+// then, and with the store away and all nodes killed nothing else is left.
+func TestAcknowledgedLeaveOutlivesTheNode(t *testing.T) {
+	for i, c := range []struct {
+		name               string
+		draining           bool // it reports that it drains, and then nothing
+		storeDown, killAll bool
+	}{
+		{name: "leave, node killed"},
+		{name: "leave, store down, node killed", storeDown: true},
+		{name: "leave, all killed", killAll: true},
+		{name: "leave, store down, all killed", storeDown: true, killAll: true},
+		{name: "drain, store down, all killed", draining: true, storeDown: true, killAll: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			p := startProcesses(t, uint64(200+i), 2)
+			time.Sleep(announceTime) // the row of the host is to name the instance
+			p.store.SetFaults(standin.StoreFaults{Down: c.storeDown})
+			leaving := p.hosts[0]
+			if c.draining {
+				leaving.instance.Silence()
+				is.NoErr(leaving.instance.Drain(t.Context()))
+			} else {
+				is.NoErr(leaving.instance.Leave(t.Context()))
+			}
+			acknowledged := time.Now()
+			killed := p.hosts[:1]
+			if c.killAll {
+				killed = p.hosts
+			}
+			for _, h := range killed {
+				h.signal(syscall.SIGKILL)
+			}
+			for _, h := range killed {
+				is.True(h.awaitEnd(gracePeriod))
+				is.NoErr(p.startNode(h))
+			}
+			p.store.SetFaults(standin.StoreFaults{})
+			time.Sleep(time.Until(acknowledged.Add(drainTime)))
+			before := len(leaving.instance.Runs())
+			served := len(p.allRuns())
+			time.Sleep(drainTime)
+			is.Equal(len(leaving.instance.Runs()), before)
+			is.True(len(p.allRuns()) > served) // the others serve
+		})
+	}
+}
+
+// announceTime is the time in which a host's row names its instance.
+const announceTime = 4 * time.Second
+
+// Guards against a restarted node that waits for the next heartbeat though its
+// instance serves.
+func TestRestartedNodeServesBeforeTheNextHeartbeat(t *testing.T) {
+	is := is.New(t)
+	p := startProcesses(t, 210, 2)
+	time.Sleep(announceTime)
+	for _, h := range p.hosts {
+		h.instance.Silence()
+		h.signal(syscall.SIGKILL)
+		is.True(h.awaitEnd(gracePeriod))
+	}
+	for _, h := range p.hosts {
+		is.NoErr(p.startNode(h))
+	}
+	before := len(p.allRuns())
+	for end := time.Now().Add(settle); len(p.allRuns()) == before && time.Now().Before(end); {
+		time.Sleep(10 * time.Millisecond) // no event tells
+	}
+	is.True(len(p.allRuns()) > before)
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -119,3 +119,19 @@
 	is.NoErr(err)
 	is.True(strings.Contains(string(merged), "node.started"))
 }
+
+// programDir is where the tests build the programs.
+var programDir string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "chicory-soak-test-")
+	if err != nil {
+		panic(err)
+	}
+	programDir = dir
+	code := m.Run()
+	if err := os.RemoveAll(dir); err != nil {
+		panic(err)
+	}
+	os.Exit(code)
+}
