Tell hosts apart by their names in exchanges

The hosts that were gone counted as reachable and, with the largest links, as readers: from 19 to 30.3 s all nodes of the failure domain followed each other and none read the store.

An answer names the host that gives it, and that of another host is no sign of life. A host whose address another one has by now is forgotten.

Tests: TestAnotherHostAtThePeersAddress, TestHostIsForgottenOnceItsAddressIsTaken.

Also: a request asks fewer gates for a free slot while most of them are full, and at most two queues; leaving the failure domain costs at least 0.15 of the time to the target.

--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -31,6 +31,11 @@
 	// a success or failure.
 	sampleWeight  = 0.15
 	failureWeight = 0.15
+	// fullLifetime is the time over which the share of full gates fades, so that
+	// gates are asked for free slots again once a burst is over. fullWeight is the
+	// weight of a new sample.
+	fullLifetime = time.Second
+	fullWeight   = 0.1
 	// routeWeight is the weight of a new sample in a route's averages.
 	routeWeight = 0.03
 	// defaultDuration is the expected duration of a request on a route without
@@ -39,6 +44,10 @@
 	// domainDelay is the cost of leaving the failure domain for a small answer: the
 	// round trip and the headers between the nodes.
 	domainDelay = 15 * time.Millisecond
+	// awayPart is the part of the time to the target that a request waits in its own
+	// failure domain rather than leave it. An answer within its target is as good to
+	// the caller as an earlier one, and links between domains are scarce.
+	awayPart = 0.15
 	// domainByteTime is the time that a request waits for an instance of its own
 	// failure domain rather than carry a byte of its answer between domains,
 	// where bytes are the scarcest resource: 2.5 milliseconds for a kilobyte.
@@ -67,6 +76,8 @@
 	Service    mesh.Service
 	Route      mesh.Route
 	Idempotent bool
+	// Left is the time to the target of the route. It may be over.
+	Left time.Duration
 	// Excluded lists the instances that are not asked.
 	Excluded []mesh.InstanceID
 }
@@ -91,6 +102,8 @@
 	Failed bool
 	// Draining is set if the gate takes no new request.
 	Draining bool
+	// Probed is set if the gate was asked for a free slot only, Full if it had none.
+	Probed, Full bool
 	// Duration is the time that the instance took, Bytes the size of the answer;
 	// both are valid when Served is set and Failed is not.
 	Duration time.Duration
@@ -181,6 +194,8 @@
 type service struct {
 	shares routing.Shares
 	all    []*instance // that take requests, sorted by ID
+	// full is the share of gates that had no free slot when they were asked for one.
+	full average
 }
 
 // New returns a Table for a node of the given failure domain.
@@ -224,7 +239,7 @@
 func (t *Table) service(name mesh.Service) *service {
 	s := t.services[name]
 	if s == nil {
-		s = &service{}
+		s = &service{full: average{lifetime: fullLifetime}}
 		t.services[name] = s
 	}
 	return s
@@ -324,15 +339,16 @@
 	if egress.Large(int(r.bytes.value)) {
 		link = float64(inst.backlog) * inst.freshness(now)
 	}
-	return wait + typical*speed + failure + link + t.away(inst, r)
+	return wait + typical*speed + failure + link + t.away(inst, r, need)
 }
 
 // away returns the cost of leaving the failure domain for an answer of a route.
-func (t *Table) away(inst *instance, r *route) float64 {
+func (t *Table) away(inst *instance, r *route, need *Need) float64 {
 	if inst.Domain == t.domain {
 		return 0
 	}
-	return min(float64(domainDelay)+r.bytes.value*float64(domainByteTime), float64(maxDomainDelay))
+	carried := min(float64(domainDelay)+r.bytes.value*float64(domainByteTime), float64(maxDomainDelay))
+	return max(carried, awayPart*float64(need.Left))
 }
 
 // sharedFailures returns the share of failures that tells nothing about a single
@@ -358,12 +374,28 @@
 	return i.FirstAnnounced != 0 && now.Sub(i.FirstAnnounced) < i.Ramp
 }
 
+// Probes returns the number of gates that a request asks for a free slot before it
+// accepts to wait, at most the given number. While nearly all gates are full a
+// question costs the bytes of the request and finds nothing, and a gate with a free
+// slot takes a request that may wait at once too.
+func (t *Table) Probes(now mesh.Time, seed uint64, name mesh.Service, most int) int {
+	source := random.New(seed)
+	return int(float64(most)*(1-t.service(name).full.get(now)) + source.Fraction())
+}
+
 // Done records the end of an attempt.
 func (t *Table) Done(now mesh.Time, c Choice, res Result) {
 	inst := c.state
 	if inst == nil {
 		return
 	}
+	if res.Probed {
+		full := 0.0
+		if res.Full {
+			full = 1
+		}
+		t.service(inst.Service).full.add(now, full, fullWeight)
+	}
 	inst.inFlight = max(0, inst.inFlight-1)
 	if res.HasLoad {
 		inst.others = max(0, float64(int(res.Load.InUse)+int(res.Load.Queued)-inst.inFlight))
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -22,6 +22,9 @@
 	// probesBeforeQueue is the number of gates that are asked for a free slot
 	// before the call accepts to wait.
 	probesBeforeQueue = 2
+	// maxQueues bounds the queues that refuse a call. They are chosen by what the
+	// gates report, so that after two others refuse it too.
+	maxQueues = 2
 	// minLeft is the time that a call needs to be worth sending.
 	minLeft = 8 * time.Millisecond
 	// configWait is the longest time that a request waits at a node that has just
@@ -53,13 +56,15 @@
 	placements int
 	closed     int  // gates that took no request for their instance
 	queued     bool // the attempt in flight may wait for a slot
+	probes     int  // gates to be asked for a free slot before that
 	// runs counts the attempts that an instance may have run.
 	runs int
-	// full lists the instances whose gates had no slot, failed those that are
-	// not asked again.
-	full   []mesh.InstanceID
-	failed []mesh.InstanceID
-	reason mesh.Reason // of the last attempt without an answer
+	// full lists the instances whose gates had no slot, refused those whose queues
+	// took the call not, and failed those that are not asked again.
+	full    []mesh.InstanceID
+	refused []mesh.InstanceID
+	failed  []mesh.InstanceID
+	reason  mesh.Reason // of the last attempt without an answer
 }
 
 func (e CallArrived) apply(n *Node, s *step) {
@@ -133,6 +138,7 @@
 		id: e.Call, route: route, service: n.destination(s, route), arrived: s.now,
 		fingerprint: e.Fingerprint, crashes: check.Crashes,
 	}
+	c.probes = n.table.Probes(s.now, s.random.Next(), c.service, probesBeforeQueue)
 	c.deadline = s.now.Add(limit)
 	c.target = s.now.Add(route.TargetLatency - n.spent(route.Name, e.Budget))
 	n.calls[e.Call] = c
@@ -190,7 +196,7 @@
 		n.finish(s, c, mesh.ReasonDeadline)
 		return
 	}
-	if c.placements >= maxPlacements || c.closed >= maxClosed {
+	if c.placements >= maxPlacements || c.closed >= maxClosed || len(c.refused) >= maxQueues {
 		n.finish(s, c, c.reason)
 		return
 	}
@@ -221,15 +227,15 @@
 // choose draws the target of the next attempt. mayQueue is set once enough gates
 // have said that they are full, or no other is left.
 func (n *Node) choose(s *step, c *call) (choice placement.Choice, mayQueue bool) {
-	need := placement.Need{Service: c.service, Route: c.route.Name, Idempotent: c.route.Idempotent}
-	if len(c.full) < probesBeforeQueue {
+	need := placement.Need{Service: c.service, Route: c.route.Name, Idempotent: c.route.Idempotent, Left: c.target.Sub(s.now)}
+	if len(c.full) < c.probes {
 		need.Excluded = slices.Concat(c.failed, c.full)
 		choice = n.table.Choose(s.now, s.random.Next(), need)
 		if choice.Found || len(c.full) == 0 {
 			return choice, false
 		}
 	}
-	need.Excluded = c.failed
+	need.Excluded = slices.Concat(c.failed, c.refused)
 	return n.table.Choose(s.now, s.random.Next(), need), true
 }
 
@@ -241,7 +247,7 @@
 	c.sent = false
 	n.table.Done(s.now, c.to, placement.Result{
 		Served: e.Outcome == mesh.Answered, Failed: e.Failed || e.Outcome == mesh.MayHaveRun || e.Outcome == mesh.NotRun && e.Reached,
-		Draining: e.Reason == mesh.ReasonDraining, Duration: e.Duration, Bytes: e.Bytes, Backlog: e.Backlog, Load: e.Load, HasLoad: e.HasLoad,
+		Draining: e.Reason == mesh.ReasonDraining, Probed: !c.queued, Full: e.Reason == mesh.ReasonOverload && !e.Reached, Duration: e.Duration, Bytes: e.Bytes, Backlog: e.Backlog, Load: e.Load, HasLoad: e.HasLoad,
 	})
 	if e.HostFailed {
 		n.hostFailed(s, c.to.Host)
@@ -285,6 +291,8 @@
 	}
 	unseen := e.Outcome == mesh.NotRun && !e.Reached
 	switch {
+	case unseen && e.Reason == mesh.ReasonOverload && c.queued:
+		c.refused = append(c.refused, c.to.ID)
 	case unseen && e.Reason == mesh.ReasonOverload:
 		c.full = append(c.full, c.to.ID)
 	case unseen && e.Reason != mesh.ReasonDeadline:
--- a/internal/proxy/digest_test.go
+++ b/internal/proxy/digest_test.go
@@ -112,3 +112,16 @@
 	}
 	is.True(away > draws/awayPeerEvery/2 && away < draws/awayPeerEvery)
 }
+
+// Guards against a host that stays among the members though another one has its
+// address.
+func TestHostIsForgottenOnceItsAddressIsTaken(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	next := remote("h9", "i9", 1)
+	next.PeerAddr, next.ForwardAddr, next.Incarnation = "h1:2", "h1:1", 7
+	r.step(MembersSeen{Members: []Member{next}})
+	is.Equal(r.node.members["h1"], nil)
+	r.step(MembersSeen{Members: []Member{remote("h1", "i1", 5)}}) // late news
+	is.True(r.node.members["h9"] != nil)
+}
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -164,6 +164,9 @@
 	if m.Incarnation > old.Incarnation {
 		old.reachable = true
 	}
+	if !fromStore && m.PeerAddr != old.PeerAddr {
+		n.retireOthersAt(s, m)
+	}
 	old.fromRow = old.fromRow && fromStore
 	n.setRecord(old, m)
 	old.changedAt = s.now
@@ -173,6 +176,17 @@
 		"from_row", old.fromRow)
 }
 
+// retireOthersAt forgets the hosts whose address another host has by now. A host is
+// replaced at its address only after it is gone.
+func (n *Node) retireOthersAt(s *step, m *Member) {
+	for _, host := range slices.Sorted(maps.Keys(n.members)) {
+		other := n.members[host]
+		if host != m.Host && other.PeerAddr == m.PeerAddr && other.Incarnation < m.Incarnation {
+			n.retire(s, other, "address taken by "+string(m.Host))
+		}
+	}
+}
+
 // scheduleFirstCheck plans the first exchange with a host that is known from its
 // row: at once in the own failure domain, spread over time in others.
 func (n *Node) scheduleFirstCheck(s *step, m *member, domain mesh.FailureDomain) {
--- a/internal/sidecar/follow.go
+++ b/internal/sidecar/follow.go
@@ -59,13 +59,13 @@
 		wait = sharedWait
 	}
 	// lost is set while the copy may lack rows: the store has forgotten changes, or
-	// this node has followed a reader, which sends few of them.
+	// this node has followed a reader, which sends few of the shared ones.
 	alive, lost := false, false
 	backoff := storeBackoff
 	var after platform.Revision
 	for ctx.Err() == nil {
 		if !n.reads(t) {
-			lost = true
+			lost = lost || t == TableShared
 			check := readerCheck
 			if !n.replicas[t].isLoaded() {
 				check = startCheck
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -45,6 +45,8 @@
 
 // News is what a peer knows beyond a digest.
 type News struct {
+	// Host is the one that answers.
+	Host    mesh.HostID
 	Members []proxy.Member
 	// Earlier is the record of the asking host by its earlier process, which only
 	// this peer may still know. Its host is empty if there is none.
@@ -82,7 +84,7 @@
 		known, out.Members = r.MembersDigest(), r.MembersFor(d.Members)
 		out.Poison, out.StoreAlive = r.PoisonEntries(n.now()), r.StoreAlive()
 	})
-	out.Loaded = n.loaded()
+	out.Host, out.Loaded = n.settings.Host, n.loaded()
 	if out.Operator, out.OperatorAt, err = n.replicas[TableOperator].since(d.Operator, allRows); err != nil {
 		return known, err
 	}
@@ -120,7 +122,7 @@
 // check exchanges state with a host to learn whether it is alive.
 func (p *peerSet) check(c proxy.PeerCheck) {
 	go func() {
-		err := p.exchange(c.Addr)
+		err := p.exchange(c.Host, c.Addr)
 		p.node.step(proxy.PeerChecked{Host: c.Host, Alive: err == nil})
 	}()
 }
@@ -136,19 +138,21 @@
 }
 
 // exchange asks a peer for news.
-func (p *peerSet) exchange(addr string) error {
-	_, err := p.ask(addr, methodExchange, peerTimeout)
+func (p *peerSet) exchange(host mesh.HostID, addr string) error {
+	_, err := p.ask(host, addr, methodExchange, peerTimeout)
 	return err
 }
 
 // await asks a reader for news and waits for it. It reports whether the store
 // answers the reader.
 func (p *peerSet) await(reader proxy.Member) (storeAlive bool, err error) {
-	news, err := p.ask(reader.PeerAddr, methodAwait, followHold+peerTimeout)
+	news, err := p.ask(reader.Host, reader.PeerAddr, methodAwait, followHold+peerTimeout)
 	return news.StoreAlive, err
 }
 
-func (p *peerSet) ask(addr, method string, timeout time.Duration) (news News, err error) {
+// ask exchanges state with a host. The address of one that is gone may be that of
+// another host by now, whose answer is news but no sign of life of the first.
+func (p *peerSet) ask(host mesh.HostID, addr, method string, timeout time.Duration) (news News, err error) {
 	n := p.node
 	d := Digest{Operator: n.replicas[TableOperator].at(), Shared: n.replicas[TableShared].at()}
 	n.inspect(func(r *proxy.Node) { d.Self, d.Members = r.Self(), r.MembersDigest() })
@@ -171,6 +175,9 @@
 		n.replicas[TableOperator].setLoaded()
 		n.replicas[TableShared].setLoaded()
 	}
+	if news.Host != host {
+		return news, ErrPeer.New("%s answers at %s, the address of %s", news.Host, addr, host)
+	}
 	return news, nil
 }
 
@@ -249,7 +256,7 @@
 			peer, alive = r.RandomPeer(rand.Uint64()), r.StoreAlive()
 		})
 		if peer.PeerAddr != "" {
-			err := n.peers.exchange(peer.PeerAddr)
+			err := n.peers.exchange(peer.Host, peer.PeerAddr)
 			if err != nil {
 				n.log.Line(time.Now(), "peer.exchange_failed", "host", string(peer.Host), "error", err.Error())
 			}
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/internal/proxy"
 )
 
 // Guards against a peer that is taken for dead because it was restarted: the
@@ -24,7 +26,7 @@
 	first := server.peerServer("peers", l)
 	ended := make(chan error, 1)
 	go func() { ended <- first.serve() }()
-	is.NoErr(caller.peers.exchange(addr))
+	is.NoErr(caller.peers.exchange("b", addr))
 	is.NoErr(first.shutdown(t.Context()))
 	is.NoErr(<-ended)
 	l, err = net.Listen("tcp", addr)
@@ -34,10 +36,33 @@
 	for client := caller.peers.clients[addr]; client.Call("none", 0, nil) == nil; {
 		time.Sleep(time.Millisecond) // until the close has arrived
 	}
-	is.NoErr(caller.peers.exchange(addr))
+	is.NoErr(caller.peers.exchange("b", addr))
 	is.NoErr(second.shutdown(t.Context()))
 }
 
+// Guards against a host that is gone but counts as alive, and is followed as the
+// reader of its failure domain, because another host has its address by now. All
+// nodes of a failure domain followed each other then and none read the store
+// (trouble-3 of wdnh-mesh-grown).
+func TestAnotherHostAtThePeersAddress(t *testing.T) {
+	is := is.New(t)
+	log := NewLog(io.Discard)
+	server, err := New(Settings{Host: "b", PeerAddr: "127.0.0.1:0"}, fakePlatform{}, log)
+	is.NoErr(err)
+	caller, err := New(Settings{Host: "a", PeerAddr: "a"}, fakePlatform{}, log)
+	is.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	peers := server.peerServer("peers", l)
+	go func() { _ = peers.serve() }()
+	is.NoErr(caller.peers.exchange("b", l.Addr().String()))
+	is.True(caller.peers.exchange("gone", l.Addr().String()) != nil)
+	gone := proxy.Member{Host: "gone", PeerAddr: l.Addr().String()}
+	_, err = caller.peers.await(gone)
+	is.True(err != nil)
+	is.NoErr(peers.shutdown(t.Context()))
+}
+
 // fakePlatform has headers and no store.
 type fakePlatform struct{ Platform }
 
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -189,7 +189,7 @@
 	if n.loaded() {
 		return n.peers.await(reader)
 	}
-	news, err := n.peers.ask(reader.PeerAddr, methodExchange, peerTimeout)
+	news, err := n.peers.ask(reader.Host, reader.PeerAddr, methodExchange, peerTimeout)
 	if err != nil {
 		return false, err
 	}
