Tell of a request that crashes instances at once, and end without a panic

The same runs showed a process that panics at its end: a request that the stop has cut wrote to the closed queue of the log.

Tests: TestRequestThatCrashesInstancesIsStopped, TestLineAfterTheEndIsDropped, both failing before.

--- a/internal/sidecar/log.go
+++ b/internal/sidecar/log.go
@@ -99,16 +99,20 @@
 // Close writes the waiting lines.
 func (l *Log) Close(ctx context.Context) { l.queue.close(ctx) }
 
-// lineQueue is a writer that hands its lines to another goroutine.
+// lineQueue is a writer that hands its lines to another goroutine. Lines may still
+// come after its end, from requests that a stop has cut; they are dropped.
 type lineQueue struct {
 	out     io.Writer
 	lines   chan []byte
+	quit    chan struct{}
 	done    chan struct{}
 	dropped *atomic.Int64
 }
 
 func newLineQueue(out io.Writer, dropped *atomic.Int64) *lineQueue {
-	q := &lineQueue{out: out, lines: make(chan []byte, logQueue), done: make(chan struct{}), dropped: dropped}
+	q := &lineQueue{
+		out: out, lines: make(chan []byte, logQueue), quit: make(chan struct{}), done: make(chan struct{}), dropped: dropped,
+	}
 	go q.run()
 	return q
 }
@@ -123,21 +127,33 @@
 	return len(p), nil
 }
 
-// run writes all waiting lines with one call each time.
 func (q *lineQueue) run() {
 	defer close(q.done)
-	for line := range q.lines {
-		for range len(q.lines) {
-			line = append(line, <-q.lines...)
-		}
-		if _, err := q.out.Write(line); err != nil {
-			q.dropped.Add(1) // there is no other place to report it
+	for {
+		select {
+		case line := <-q.lines:
+			q.write(line)
+		case <-q.quit:
+			if len(q.lines) > 0 {
+				q.write(nil)
+			}
+			return
 		}
 	}
 }
 
+// write writes a line and all waiting ones with one call.
+func (q *lineQueue) write(line []byte) {
+	for range len(q.lines) {
+		line = append(line, <-q.lines...)
+	}
+	if _, err := q.out.Write(line); err != nil {
+		q.dropped.Add(1) // there is no other place to report it
+	}
+}
+
 func (q *lineQueue) close(ctx context.Context) {
-	close(q.lines)
+	close(q.quit)
 	select {
 	case <-q.done:
 	case <-ctx.Done():
--- a/internal/sidecar/log_test.go
+++ b/internal/sidecar/log_test.go
@@ -56,3 +56,16 @@
 	close(w.release)
 	l.Close(context.Background())
 }
+
+// Guards against a process that panics at its end, because a request which the stop
+// has cut writes a line after the last one.
+func TestLineAfterTheEndIsDropped(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	l := NewLog(&out)
+	l.Event("first")
+	l.Close(t.Context())
+	l.Event("late")
+	is.True(strings.Contains(out.String(), "first"))
+	is.True(!strings.Contains(out.String(), "late"))
+}
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -9,6 +9,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 )
 
@@ -108,9 +109,17 @@
 	return mismatchHold
 }
 
-// Notify takes in the record of a host that has changed.
-func (s *PeerService) Notify(m proxy.Member, _ *struct{}) error {
-	s.node.step(proxy.PeerSeen{Member: m})
+// Notice is what a host tells the readers at once: its changed record and, as the
+// change may be the crash of its instance, the requests that crash instances.
+type Notice struct {
+	Self   proxy.Member
+	Poison []poison.Entry
+}
+
+// Notify takes in what has changed at a host.
+func (s *PeerService) Notify(notice Notice, _ *struct{}) error {
+	s.node.step(proxy.PoisonSeen{Entries: notice.Poison})
+	s.node.step(proxy.PeerSeen{Member: notice.Self})
 	return nil
 }
 
@@ -123,12 +132,12 @@
 			return
 		case <-n.recordChanged:
 		}
-		var self proxy.Member
+		var notice Notice
 		var readers []proxy.Member
-		n.inspect(func(r *proxy.Node) { self, readers = r.Self(), r.Readers() })
+		n.inspect(func(r *proxy.Node) { notice, readers = Notice{r.Self(), r.PoisonEntries(n.now())}, r.Readers() })
 		for _, reader := range readers {
 			go func() {
-				if err := n.peers.call(reader.PeerAddr, methodNotify, self, new(struct{}), peerTimeout); err != nil {
+				if err := n.peers.call(reader.PeerAddr, methodNotify, notice, new(struct{}), peerTimeout); err != nil {
 					n.log.Line(time.Now(), "reader.not_notified", "reader", string(reader.Host), "error", err.Error())
 				}
 			}()
--- a/internal/sidecar/reader_test.go
+++ b/internal/sidecar/reader_test.go
@@ -88,7 +88,7 @@
 		}
 		done <- news
 	}()
-	is.NoErr(service.Notify(member("c"), nil))
+	is.NoErr(service.Notify(Notice{Self: member("c")}, nil))
 	news := <-done
 	is.True(time.Since(began) < mismatchHold)
 	is.True(len(news.Members) > 0)
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -62,9 +62,13 @@
 
 // send returns status zero if there was no answer.
 func send(ctx context.Context, client *http.Client, h *host, method, route, identity string) (status int, whole bool, err error) {
+	return sendPath(ctx, client, h, method, "/"+route+"/"+identity, identity)
+}
+
+// sendPath sends a request whose path doesn't name its identity.
+func sendPath(ctx context.Context, client *http.Client, h *host, method, path, identity string) (status int, whole bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	path := "/" + route + "/" + identity
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.addr(portCall)+path, nil)
 	if err != nil {
 		return 0, false, err
--- a/internal/soak/deployment.go
+++ b/internal/soak/deployment.go
@@ -43,6 +43,8 @@
 	work        = 30 * time.Millisecond
 	heartbeat   = 300 * time.Millisecond
 	gracePeriod = 6 * time.Second
+	// crashPause is the time for which an instance that a request has crashed is away.
+	crashPause = time.Second
 )
 
 // Options of a run.
@@ -64,6 +66,7 @@
 	ledger    *ledger
 	mu        sync.Mutex
 	version   int
+	crashes   int                  // by requests
 	disturbed map[string]time.Time // end of the last unplanned fault, by cause
 }
 
@@ -209,6 +212,7 @@
 	h.instance = standin.NewInstance(standin.InstanceSettings{
 		ID: fmt.Sprintf("i-%d-%d", h.index, time.Now().UnixNano()), Service: serviceName, Version: h.version, Zone: fmt.Sprintf("zone-%d", h.index%2),
 		Addr: h.addr(portInstance), ControlAddr: h.addr(portControl), Slots: slots, Work: work, HeartbeatInterval: heartbeat,
+		Crash: func() { d.crash(context.Background(), h, time.Now().Add(crashPause), &d.crashes) },
 	})
 	return h.instance.Start(ctx)
 }
--- a/internal/soak/restart_test.go
+++ b/internal/soak/restart_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"net/http"
 	"os/exec"
 	"path/filepath"
 	"sync"
@@ -132,3 +134,43 @@
 	}
 	is.True(len(p.allRuns()) > before)
 }
+
+// crashCount returns the number of instances that requests have crashed.
+func (p *processes) crashCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.crashes
+}
+
+// mostCrashes is the number of instances that a request may crash.
+const mostCrashes = 3
+
+// Guards against a request that crashes one instance after the other, sent again at
+// ever other hosts, while nodes are restarted and forget what they knew.
+func TestRequestThatCrashesInstancesIsStopped(t *testing.T) {
+	is := is.New(t)
+	p := startProcesses(t, 220, 4)
+	client := &http.Client{}
+	defer client.CloseIdleConnections()
+	var restarts sync.WaitGroup
+	defer restarts.Wait()
+	const sends, gap = 40, 250 * time.Millisecond
+	for n := range sends {
+		h := p.hosts[n%4]
+		if n%10 == 9 { // a planned restart and a kill by turns
+			signal := syscall.SIGKILL
+			if n%20 == 9 {
+				signal = syscall.SIGTERM
+			}
+			restarts.Go(func() { p.restart(p.hosts[(n+1)%4], signal) })
+		}
+		// The path is the same each time, the identity of the send is not.
+		status, _, _ := sendPath(t.Context(), client, h, http.MethodGet, "/read/"+standin.CrashPath, fmt.Sprintf("crash-%d", n))
+		is.True(status != http.StatusOK)
+		time.Sleep(gap)
+	}
+	t.Logf("%d crashes", p.crashCount())
+	is.True(p.crashCount() >= 1)
+	is.True(p.crashCount() <= mostCrashes)
+	is.True(p.ledger.answeredShare() > 0) // the callers of other requests
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -150,7 +150,7 @@
 		sleepUntil(ctx, end)
 		h.instance.SetFaults(standin.InstanceFaults{})
 	case KindCrash:
-		d.crash(ctx, h, end)
+		d.crash(ctx, h, end, new(int))
 	case KindConfig:
 		d.change(ctx)
 	case KindRolloutBad:
@@ -207,11 +207,14 @@
 	}
 }
 
-func (d *deployment) crash(ctx context.Context, h *host, end time.Time) {
+// crash ends the instance of a host until the given time. A crash of an instance
+// that is down already counts no more.
+func (d *deployment) crash(ctx context.Context, h *host, end time.Time, count *int) {
 	d.mu.Lock()
 	down := h.down
 	if !down {
 		h.endInstance()
+		*count++
 	}
 	h.down = true
 	d.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -91,7 +91,7 @@
 	is.NoErr(d.startInstance(h))
 	done := make(chan struct{}, 2)
 	for range 2 {
-		go func() { d.crash(t.Context(), h, time.Now().Add(50*time.Millisecond)); done <- struct{}{} }()
+		go func() { d.crash(t.Context(), h, time.Now().Add(50*time.Millisecond), new(int)); done <- struct{}{} }()
 	}
 	<-done
 	<-done
