--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -23,6 +23,7 @@
 	// peerService names the service of net/rpc.
 	peerService    = "Peer"
 	methodExchange = peerService + ".Exchange"
+	methodPing     = peerService + ".Ping"
 	methodEvidence = peerService + ".Evidence"
 	// exchangeInterval is the period of exchanges with a random peer while the
 	// store is alive, and hurriedInterval while it is not.
@@ -103,6 +104,20 @@
 	}
 }
 
+// Pong is a sign of life without news.
+type Pong struct {
+	Self proxy.Member
+	// Earlier is as in News.
+	Earlier proxy.Member
+}
+
+// Ping answers a host that wants to know whether this one is alive.
+func (s *PeerService) Ping(caller proxy.Member, out *Pong) error {
+	s.node.inspect(func(r *proxy.Node) { out.Self, out.Earlier = r.Self(), r.Earlier(&caller) })
+	s.node.step(proxy.PeerSeen{Member: caller})
+	return nil
+}
+
 // Evidence takes in the counts of a gate.
 func (s *PeerService) Evidence(e rollout.Evidence, _ *struct{}) error {
 	s.node.step(proxy.EvidenceReceived{Evidence: e})
@@ -119,14 +134,38 @@
 
 func newPeerSet(n *Node) *peerSet { return &peerSet{node: n, clients: make(map[string]*rpc.Client)} }
 
-// check exchanges state with a host to learn whether it is alive.
+// check asks a host for a sign of life. After a restart of many hosts each of them
+// asks all others, so that the answer carries no news.
 func (p *peerSet) check(c proxy.PeerCheck) {
 	go func() {
-		err := p.exchange(c.Host, c.Addr)
-		p.node.step(proxy.PeerChecked{Host: c.Host, Alive: err == nil})
+		if err := p.ping(c.Host, c.Addr); err != nil {
+			p.node.step(proxy.PeerChecked{Host: c.Host, Alive: false})
+		}
 	}()
 }
 
+// ping asks a host for its record.
+func (p *peerSet) ping(host mesh.HostID, addr string) error {
+	var self proxy.Member
+	var pong Pong
+	p.node.inspect(func(r *proxy.Node) { self = r.Self() })
+	if err := p.call(addr, methodPing, self, &pong, peerTimeout); err != nil {
+		return err
+	}
+	p.node.step(proxy.MembersSeen{Members: []proxy.Member{pong.Earlier}})
+	p.node.step(proxy.PeerSeen{Member: pong.Self})
+	return sameHost(host, pong.Self.Host, addr)
+}
+
+// sameHost fails if another host answers at an address. That of a host that is gone
+// may belong to another one by now, whose answer is no sign of life of the first.
+func sameHost(want, got mesh.HostID, addr string) error {
+	if got != want {
+		return ErrPeer.New("%s answers at %s, the address of %s", got, addr, want)
+	}
+	return nil
+}
+
 // report sends the counts of this host's gate to the driver of a roll-out. Later
 // reports contain the counts of lost ones.
 func (p *peerSet) report(r proxy.EvidenceReport) {
@@ -150,8 +189,7 @@
 	return news.StoreAlive, err
 }
 
-// ask exchanges state with a host. The address of one that is gone may be that of
-// another host by now, whose answer is news but no sign of life of the first.
+// ask exchanges state with a host.
 func (p *peerSet) ask(host mesh.HostID, addr, method string, timeout time.Duration) (news News, err error) {
 	n := p.node
 	d := Digest{Operator: n.replicas[TableOperator].at(), Shared: n.replicas[TableShared].at()}
@@ -175,10 +213,7 @@
 		n.replicas[TableOperator].setLoaded()
 		n.replicas[TableShared].setLoaded()
 	}
-	if news.Host != host {
-		return news, ErrPeer.New("%s answers at %s, the address of %s", news.Host, addr, host)
-	}
-	return news, nil
+	return news, sameHost(host, news.Host, addr)
 }
 
 // call makes one call. A connection that the peer has closed since the last call,
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -57,6 +57,8 @@
 	go func() { _ = peers.serve() }()
 	is.NoErr(caller.peers.exchange("b", l.Addr().String()))
 	is.True(caller.peers.exchange("gone", l.Addr().String()) != nil)
+	is.NoErr(caller.peers.ping("b", l.Addr().String()))
+	is.True(caller.peers.ping("gone", l.Addr().String()) != nil)
 	gone := proxy.Member{Host: "gone", PeerAddr: l.Addr().String()}
 	_, err = caller.peers.await(gone)
 	is.True(err != nil)
