Let settled peers vouch for the hosts of rows

Each started node asked all hosts of its rows at once, and used none before.

A node that has run for five seconds and had contact with all its hosts vouches for those whose records are the same at a node that starts; others show themselves by their own new records. What is left is asked after 0.2 to 0.4 s in the own failure domain and 0.8 to 1.5 s in others.

--- a/internal/proxy/digest.go
+++ b/internal/proxy/digest.go
@@ -53,6 +53,13 @@
 	return b
 }
 
+// sameBucket reports whether two digests have the same hash of a group. A digest of
+// another form has none.
+func sameBucket(a, b []byte, bucket int) bool {
+	at := bucket * bucketBytes
+	return len(a) == len(b) && bytes.Equal(a[at:at+bucketBytes], b[at:at+bucketBytes])
+}
+
 // MembersFor returns the records of the groups in which this node differs from the
 // digest of a peer, sorted by host. A digest of another form differs in all.
 func (n *Node) MembersFor(digest []byte) []Member {
@@ -63,8 +70,7 @@
 	var list []Member
 	for _, host := range slices.Sorted(maps.Keys(n.members)) {
 		m := &n.members[host].Member
-		at := bucketOf(m) * bucketBytes
-		if len(digest) != len(own) || !bytes.Equal(own[at:at+bucketBytes], digest[at:at+bucketBytes]) {
+		if !sameBucket(own, digest, bucketOf(m)) {
 			list = append(list, *m)
 		}
 	}
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -21,9 +21,14 @@
 	// forgetTime is the time after which an unreachable host is forgotten. It
 	// returns with its next announcement.
 	forgetTime = 60 * time.Second
-	// firstCheckSpread is the time over which the first exchanges with hosts of other
-	// failure domains are spread that are known only from their rows.
-	firstCheckSpread = time.Second
+	// firstCheck is the time after which a host that is known only from its row is
+	// asked for a sign of life, with jitter: most are known by then from a peer that
+	// has run for longer, or by their own first records after a common start. Hosts of
+	// other failure domains take firstAwayCheck.
+	firstCheck     = 400 * time.Millisecond
+	firstAwayCheck = 1500 * time.Millisecond
+	// settledTime is the age from which a node vouches for the hosts that it knows.
+	settledTime = 5 * time.Second
 	// longestCheckPause bounds the pause between exchanges with a host that was never
 	// reached. It starts at checkInterval and doubles.
 	longestCheckPause = 5 * time.Second
@@ -187,16 +192,51 @@
 	}
 }
 
-// scheduleFirstCheck plans the first exchange with a host that is known from its
-// row: at once in the own failure domain, spread over time in others.
+// scheduleFirstCheck plans the first contact with a host that is known from its row.
 func (n *Node) scheduleFirstCheck(s *step, m *member, domain mesh.FailureDomain) {
-	m.nextCheck = s.now
+	wait := firstCheck
 	if domain != n.settings.Domain {
-		m.nextCheck = s.now.Add(s.jitter(firstCheckSpread))
+		wait = firstAwayCheck
 	}
+	m.nextCheck = s.now.Add(s.jitter(wait))
 	m.checkPause = checkInterval
 }
 
+// Settled reports whether this node vouches for the hosts that it knows: it has run
+// for some time, and has had contact with all of them.
+func (n *Node) Settled(now mesh.Time) bool {
+	return now.Sub(n.started) >= settledTime && !n.KnowsByRow()
+}
+
+// KnowsByRow reports whether some host is known only from its row.
+func (n *Node) KnowsByRow() bool {
+	for _, m := range n.members {
+		if m.fromRow {
+			return true
+		}
+	}
+	return false
+}
+
+// PeerVouches is the digest of the members of a settled peer. A host whose record is
+// the same there counts as if there had been contact with it.
+type PeerVouches struct{ Digest []byte }
+
+func (e PeerVouches) apply(n *Node, s *step) {
+	own := n.MembersDigest()
+	vouched := 0
+	for _, m := range n.members {
+		if m.fromRow && sameBucket(own, e.Digest, bucketOf(&m.Member)) {
+			m.fromRow = false
+			vouched++
+		}
+	}
+	if vouched > 0 {
+		n.membersChanged = true
+		s.record("member.vouched", "hosts", vouched)
+	}
+}
+
 func instanceName(m *Member) string {
 	if m.Instance == nil {
 		return ""
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -38,8 +38,10 @@
 
 // Digest tells what a node knows, so that a peer sends only what is news to it.
 type Digest struct {
-	Self     proxy.Member
-	Members  []byte // hashes of the records of members
+	Self    proxy.Member
+	Members []byte // hashes of the records of members
+	// ByRow is set if the asking node knows hosts only from their rows.
+	ByRow    bool
 	Operator platform.Revision
 	Shared   platform.Revision
 }
@@ -49,6 +51,9 @@
 	// Host is the one that answers.
 	Host    mesh.HostID
 	Members []proxy.Member
+	// Vouched holds the hashes of the records of members that a settled peer vouches
+	// for, if it was asked to.
+	Vouched []byte
 	// Earlier is the record of the asking host by its earlier process, which only
 	// this peer may still know. Its host is empty if there is none.
 	Earlier  proxy.Member
@@ -83,6 +88,9 @@
 	n.step(proxy.PeerSeen{Member: d.Self})
 	n.inspect(func(r *proxy.Node) {
 		known, out.Members = r.MembersDigest(), r.MembersFor(d.Members)
+		if d.ByRow && r.Settled(n.now()) {
+			out.Vouched = known
+		}
 		out.Poison, out.StoreAlive = r.PoisonEntries(n.now()), r.StoreAlive()
 	})
 	out.Host, out.Loaded = n.settings.Host, n.loaded()
@@ -193,11 +201,14 @@
 func (p *peerSet) ask(host mesh.HostID, addr, method string, timeout time.Duration) (news News, err error) {
 	n := p.node
 	d := Digest{Operator: n.replicas[TableOperator].at(), Shared: n.replicas[TableShared].at()}
-	n.inspect(func(r *proxy.Node) { d.Self, d.Members = r.Self(), r.MembersDigest() })
+	n.inspect(func(r *proxy.Node) { d.Self, d.Members, d.ByRow = r.Self(), r.MembersDigest(), r.KnowsByRow() })
 	if err := p.call(addr, method, d, &news, timeout); err != nil {
 		return news, err
 	}
 	n.step(proxy.MembersSeen{Members: append(news.Members, news.Earlier)})
+	if news.Vouched != nil {
+		n.step(proxy.PeerVouches{Digest: news.Vouched})
+	}
 	n.step(proxy.PoisonSeen{Entries: news.Poison})
 	operator, err := unpackAll(news.Operator)
 	if err != nil {
