Pause the driver of a roll-out and reset an answer without a length

Two more of the users' accounts as tests: a driver that was paused for longer than its claim holds writes nothing after its return (real processes; the stages never go back and operators are told one end), and an answer that ends with a reset is lost.

--- a/internal/soak/restart_test.go
+++ b/internal/soak/restart_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os/exec"
@@ -12,6 +13,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/chicoryscale/chicoryscale/internal/rollout"
 	"github.com/chicoryscale/chicoryscale/platform/standin"
 )
 
@@ -174,3 +176,60 @@
 	is.True(p.crashCount() <= mostCrashes)
 	is.True(p.ledger.answeredShare() > 0) // the callers of other requests
 }
+
+// rolloutRows returns the rows of the roll-out so far.
+func (p *processes) rolloutRows() []rollout.Row {
+	p.Helper()
+	var rows []rollout.Row
+	for _, value := range p.store.History("chicory", "rollout/"+serviceName) {
+		var row rollout.Row
+		if err := json.Unmarshal(value, &row); err != nil {
+			p.Fatal(err)
+		}
+		rows = append(rows, row)
+	}
+	return rows
+}
+
+// Guards against two drivers of one roll-out: one that was paused for longer than
+// its claim to the row holds must not act on it when it goes on, so that stages go
+// back or operators are told of two ends.
+func TestPausedDriverDoesNotActOnItsReturn(t *testing.T) {
+	is := is.New(t)
+	p := startProcesses(t, 230, 3)
+	is.NoErr(p.store.Order(serviceName, newVersion, 14))
+	awaitRows := func(holds func(rows []rollout.Row) bool) []rollout.Row {
+		for end := time.Now().Add(4 * settle); ; time.Sleep(20 * time.Millisecond) { // no event tells
+			if rows := p.rolloutRows(); len(rows) > 0 && holds(rows) {
+				return rows
+			}
+			if time.Now().After(end) {
+				t.Fatalf("the roll-out is at %+v", p.rolloutRows())
+			}
+		}
+	}
+	rows := awaitRows(func([]rollout.Row) bool { return true })
+	first := rows[0].Driver
+	for _, h := range p.hosts {
+		if fmt.Sprintf("host-%d", h.index) == string(first) {
+			h.signal(syscall.SIGSTOP)
+			awaitRows(func(rows []rollout.Row) bool { return rows[len(rows)-1].Driver != first })
+			h.signal(syscall.SIGCONT)
+		}
+	}
+	rows = awaitRows(func(rows []rollout.Row) bool { return rows[len(rows)-1].State.Final() })
+	time.Sleep(settle / 2) // for what a second driver would still write
+	rows = p.rolloutRows()
+	ends := 0
+	for i, row := range rows {
+		if row.State.Final() {
+			ends++
+		}
+		if i > 0 {
+			is.True(row.Stage >= rows[i-1].Stage)
+			is.True(row.Driver == rows[i-1].Driver || row.Driver != first) // it has lost the row
+		}
+	}
+	is.Equal(ends, 1)
+	is.Equal(rows[len(rows)-1].State, rollout.Completed)
+}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -246,3 +246,34 @@
 	is.True(errorx.IsOfType(err, ErrNotSent))
 	is.True(errorx.IsOfType(err, ErrRefused))
 }
+
+// Guards against an answer without a length that is taken for whole although its
+// connection was reset.
+func TestResetEndsNoAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for reset := true; ; reset = false {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nhalf")
+			if reset {
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+			_ = c.Close()
+		}
+	}()
+	p := NewPool(l.Addr().String(), options())
+	_, err = do(p, get("1"))
+	is.True(errorx.IsOfType(err, ErrLost))
+	resp, err := do(p, get("1"))
+	is.NoErr(err) // a connection that ends in order ends its answer
+	is.Equal(string(resp.Body), "half")
+}
