Judge a new version beside the old one of the same moment

The service that both versions call had begun to refuse requests when the new one had nearly all of them, so that the counts of the whole roll-out compare different times.

While the old version has lately failed at least half as often as the new one, nothing is held against the new one. The last stage but one leaves the old version 30% to compare with, and a fault has to show for a quarter of a second. Evidence is copied when it is taken in: in the tests' play earlier states shared their counts with later ones, so that the judgement of single stages was not played there.

Ruled out: a larger margin, which late faults pass.

--- a/internal/rollout/reducer.go
+++ b/internal/rollout/reducer.go
@@ -14,17 +14,23 @@
 type stage struct {
 	// share is the part of the service's requests for the new version.
 	share routing.Parts
-	// until is the part of the roll-out's duration at which the stage ends.
+	// until is the part of the roll-out's duration at which the stage ends, and least
+	// the time for which it is observed at least.
 	until float64
+	least time.Duration
 }
 
 // stages begin with a share below the tolerated exposure of a bad version and
 // last long enough there to see a fault that shows some seconds after the start.
-// The last one lets requests to the old version end before its instances stop.
+// The last but one leaves the old version a share to compare with, and the last one
+// lets requests to the old version end before its instances stop.
 //
-// A version whose fault shows only at the last stage has got 7% of the requests
+// A version whose fault shows only at the last two stages has got 7% of the requests
 // of the whole duration by then, which leaves time to see it.
-var stages = [...]stage{{600, 0.46}, {2000, 0.55}, {4500, 0.61}, {routing.FullShare, 0.70}}
+var stages = [...]stage{
+	{600, 0.46, 900 * time.Millisecond}, {2000, 0.55, 900 * time.Millisecond}, {4500, 0.60, 900 * time.Millisecond},
+	{7000, 0.67, 700 * time.Millisecond}, {routing.FullShare, 0.70, 400 * time.Millisecond},
+}
 
 const (
 	// beatInterval is the period at which a driver renews its row.
@@ -36,14 +42,21 @@
 	// rewriteTime is the time after which a write without a visible effect is
 	// repeated.
 	rewriteTime = time.Second
-	// minStageTime is the least time in a stage, so that each is observed.
-	minStageTime = 900 * time.Millisecond
 	// minCanaryAnswers is the number of answers of the new version needed to leave
 	// the first stage, unless time runs out.
 	minCanaryAnswers = 20
 	// hurryPart is the part of the duration after which a roll-out goes on with
 	// less evidence and capacity than it should have.
 	hurryPart = 0.66
+	// controlTime is the time over which the versions are compared at the same moment,
+	// controlAnswers the number of answers of the old one needed for that, and alikePart
+	// the part of the new one's share of failures from which they fail alike.
+	controlTime    = 500 * time.Millisecond
+	controlAnswers = 40
+	alikePart      = 0.5
+	// confirmTime is the time for which a fault has to show. The first failures of a
+	// disturbance reach the versions by chance.
+	confirmTime = 250 * time.Millisecond
 	// capacityPart is the part of the old version's slots that the new version
 	// needs, relative to its share, before a stage beyond the first.
 	capacityPart = 0.7
@@ -63,6 +76,11 @@
 	evidence  map[mesh.InstanceID]Evidence
 	// earlier is the evidence at the start of the row's stage, as seen here.
 	earlier map[mesh.InstanceID]Evidence
+	// before and last are the evidence one to two and up to one controlTime ago.
+	before, last map[mesh.InstanceID]Evidence
+	lastAt       mesh.Time
+	// suspectedAt is the time since which the evidence shows a fault, zero for none.
+	suspectedAt mesh.Time
 }
 
 // Reducer holds the roll-outs of all services at one host. It is not safe for
@@ -123,6 +141,7 @@
 	if ok && old.Incarnation == e.Incarnation && answers(e) < answers(old) {
 		return
 	}
+	e.Routes = slices.Clone(e.Routes) // earlier states are compared with later ones
 	m.evidence[e.Instance] = e
 }
 
@@ -231,7 +250,7 @@
 		row.Driver = r.host
 		return row, now.Sub(m.changedAt) >= takeoverTime+delay
 	}
-	if reason := m.fault(); reason != "" {
+	if reason := m.confirmed(now); reason != "" {
 		row.State, row.Reason = RolledBack, reason
 		return row, true
 	}
@@ -259,13 +278,36 @@
 	}
 }
 
+// confirmed returns the reason to take the new version back once the evidence has
+// shown a fault for some time.
+func (m *move) confirmed(now mesh.Time) string {
+	reason := m.fault(now)
+	switch {
+	case reason == "":
+		m.suspectedAt = 0
+	case m.suspectedAt == 0:
+		m.suspectedAt = now
+	}
+	if reason == "" || now.Sub(m.suspectedAt) < confirmTime {
+		return ""
+	}
+	return reason
+}
+
 // fault returns the reason to take the new version back, or an empty text. The
 // present stage is judged by itself too: a fault that shows under load would
 // otherwise be outweighed by the good answers of earlier stages. It needs enough
 // answers of the old version since the stage began: failures are faster than good
 // answers, so that the first answers of a share that has just grown look bad while
 // both versions suffer from a third party.
-func (m *move) fault() string {
+//
+// A fault of the version shows beside the old one: while both fail alike, whatever
+// the cause is, neither judgement holds, since the counts of the whole roll-out and of
+// a share that has grown compare different times.
+func (m *move) fault(now mesh.Time) string {
+	if m.failAlike(now) {
+		return ""
+	}
 	all := slices.SortedFunc(maps.Values(m.evidence), func(a, b Evidence) int { return cmp.Compare(a.Instance, b.Instance) })
 	if reason := Judge(m.order.Target, all); reason != "" || m.row.Stage == 0 {
 		return reason
@@ -283,11 +325,25 @@
 	return Judge(m.order.Target, all)
 }
 
+// failAlike reports whether the old version has lately failed nearly as often as the
+// new one.
+func (m *move) failAlike(now mesh.Time) bool {
+	if now.Sub(m.lastAt) >= controlTime {
+		m.before, m.last, m.lastAt = m.last, maps.Clone(m.evidence), now
+	}
+	recent := make([]Evidence, 0, len(m.evidence))
+	for _, e := range m.evidence {
+		recent = append(recent, e.since(m.before[e.Instance]))
+	}
+	c := compare(m.order.Target, recent)
+	return c.next.failures > 0 && c.old.answers >= controlAnswers && c.old.failedShare() >= alikePart*c.next.failedShare()
+}
+
 // stageEnded reports whether the present stage has lasted its time and the new
 // version can carry the next share.
 func (m *move) stageEnded(now mesh.Time, slots Slots) bool {
 	elapsed := float64(now.Sub(m.orderedAt)) / float64(max(m.order.Duration, time.Second))
-	if now.Sub(m.stageAt) < minStageTime || elapsed < stages[m.row.Stage].until || slots[m.order.Target] == 0 {
+	if now.Sub(m.stageAt) < stages[m.row.Stage].least || elapsed < stages[m.row.Stage].until || slots[m.order.Target] == 0 {
 		return false
 	}
 	if elapsed >= hurryPart {
