--- a/internal/soak/restart_test.go
+++ b/internal/soak/restart_test.go
@@ -217,7 +217,7 @@
 			h.signal(syscall.SIGCONT)
 		}
 	}
-	rows = awaitRows(func(rows []rollout.Row) bool { return rows[len(rows)-1].State.Final() })
+	awaitRows(func(rows []rollout.Row) bool { return rows[len(rows)-1].State.Final() })
 	time.Sleep(settle / 2) // for what a second driver would still write
 	rows = p.rolloutRows()
 	ends := 0
