--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -22,8 +22,9 @@
 	// probesBeforeQueue is the number of gates that are asked for a free slot
 	// before the call accepts to wait.
 	probesBeforeQueue = 2
-	// maxQueues bounds the queues that refuse a call. They are chosen by what the
-	// gates report, so that after two others refuse it too.
+	// maxQueues is the number of refusals by queues after which a call is rejected.
+	// The queues asked are the shortest by the gates' reports, so that others would
+	// refuse it too.
 	maxQueues = 2
 	// minLeft is the time that a call needs to be worth sending.
 	minLeft = 8 * time.Millisecond
@@ -60,7 +61,7 @@
 	// runs counts the attempts that an instance may have run.
 	runs int
 	// full lists the instances whose gates had no slot, refused those whose queues
-	// took the call not, and failed those that are not asked again.
+	// rejected the call, and failed those that are not asked again.
 	full    []mesh.InstanceID
 	refused []mesh.InstanceID
 	failed  []mesh.InstanceID
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -304,12 +304,13 @@
 	if err != nil {
 		return nil, err
 	}
-	if other := p.takeOpen(addr); other != nil { // opened at the same time
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.clients[addr]; other != nil { // opened at the same time
 		_ = client.Close()
+		other.calls++
 		return other, nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	c := &peerClient{Client: client, calls: 1, lastUsed: time.Now()}
 	p.clients[addr] = c
 	return c, nil
--- a/internal/sidecar/peers_test.go
+++ b/internal/sidecar/peers_test.go
@@ -3,6 +3,8 @@
 import (
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -71,6 +73,65 @@
 	is.NoErr(peers.shutdown(t.Context()))
 }
 
+// countingListener counts the open connections that it has accepted.
+type countingListener struct {
+	net.Listener
+	open atomic.Int64
+}
+
+type countedConn struct {
+	net.Conn
+	listener *countingListener
+	once     sync.Once
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.open.Add(1)
+	return &countedConn{Conn: c, listener: l}, nil
+}
+
+func (c *countedConn) Close() error {
+	c.once.Do(func() { c.listener.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// Guards against connections that nothing closes because several calls have opened
+// one to the same peer at the same time.
+func TestSimultaneousCallsLeaveOneConnection(t *testing.T) {
+	is := is.New(t)
+	log := NewLog(io.Discard)
+	server, err := New(Settings{Host: "b", PeerAddr: "127.0.0.1:0"}, fakePlatform{}, log)
+	is.NoErr(err)
+	caller, err := New(Settings{Host: "a", PeerAddr: "a"}, fakePlatform{}, log)
+	is.NoErr(err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	counting := &countingListener{Listener: l}
+	peers := server.peerServer("peers", counting)
+	go func() { _ = peers.serve() }()
+	for range 20 {
+		var calls sync.WaitGroup
+		for range 8 {
+			calls.Go(func() {
+				if err := caller.peers.exchange("b", l.Addr().String()); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		calls.Wait()
+		caller.peers.trim(time.Now().Add(2 * peerIdleTime))
+	}
+	for end := time.Now().Add(5 * time.Second); counting.open.Load() > 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond) // until the closes have arrived
+	}
+	is.Equal(counting.open.Load(), int64(0))
+	is.NoErr(peers.shutdown(t.Context()))
+}
+
 // Guards against a host that is gone but counts as alive, and is followed as the
 // reader of its failure domain, because another host has its address by now. All
 // nodes of a failure domain followed each other then and none read the store
