Tell repeats by cause, with the inputs of each decision

The logs and metrics could not distinguish the hypotheses on the broken retry budget: a repeat left no line, one counter held all causes, and a gate did not know which of its runs were repeats.

Each decision on a repeat now writes a line with the service, the cause, the requests and repeats of the window and the hosts that share the budget; repeats are counted by cause; gates count the repeated requests that they give to their instance. No decision changes.

--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -58,6 +58,8 @@
 	closed     int  // gates that took no request for their instance
 	queued     bool // the attempt in flight may wait for a slot
 	probes     int  // gates to be asked for a free slot before that
+	// repeated is set once an attempt has drawn on the budget for repeats.
+	repeated bool
 	// runs counts the attempts that an instance may have run.
 	runs int
 	// full lists the instances whose gates had no slot, refused those whose queues
@@ -218,6 +220,7 @@
 		Call: c.id, Action: CallForward, Attempt: c.attempt, Host: m.Host, Addr: m.ForwardAddr,
 		Instance: choice.ID, Route: c.route.Name, Rank: c.route.Rank, Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, LeftToTarget: c.target.Sub(s.now), MayQueue: mayQueue, Crashes: c.crashes,
+		Repeated: c.repeated,
 	}
 	if m.Host == n.settings.Host {
 		effect.Addr = ""
@@ -270,17 +273,47 @@
 	if !e.Failed || !c.route.Idempotent || c.runs >= c.route.Attempts || c.deadline.Sub(s.now) < 2*minLeft {
 		return false
 	}
-	return n.repeat(s, c, retry.PartFailed)
+	return n.repeat(s, c, RepeatFailed)
 }
 
+// RepeatCause is the end of an attempt that is followed by a repeat.
+type RepeatCause uint8
+
+// Causes of repeats.
+const (
+	// RepeatRefused follows an instance's word that it has not run the request.
+	RepeatRefused RepeatCause = iota
+	// RepeatLost follows an attempt without an answer, which may have run.
+	RepeatLost
+	// RepeatFailed follows an answer that states a failure.
+	RepeatFailed
+	repeatCauses
+)
+
+var repeatCauseNames = [repeatCauses]string{"refused", "lost", "failed"}
+
+// String implements fmt.Stringer.
+func (c RepeatCause) String() string { return repeatCauseNames[c] }
+
+// repeatParts are the parts of the budget by the cause of the repeat.
+var repeatParts = [repeatCauses]float64{retry.PartRefused, retry.PartLost, retry.PartFailed}
+
 // repeat draws on the shared budget for one more attempt at an instance.
-func (n *Node) repeat(s *step, c *call, part float64) bool {
-	if !n.window(c.service).Repeat(s.now, n.settings.Repeats, part, n.liveHosts()) {
+func (n *Node) repeat(s *step, c *call, cause RepeatCause) bool {
+	window, hosts := n.window(c.service), n.liveHosts()
+	allowed := window.Repeat(s.now, n.settings.Repeats, repeatParts[cause], hosts)
+	kind := "call.repeated"
+	if allowed {
+		n.counters.Repeats[cause]++
+		c.repeated = true
+	} else {
 		n.counters.RepeatsRefused++
-		return false
+		kind = "call.repeat_refused"
 	}
-	n.counters.Repeats++
-	return true
+	requests, repeats := window.Sums(s.now, n.settings.Repeats)
+	s.record(kind, "call", uint64(c.id), "route", string(c.route.Name), "service", string(c.service), "cause", cause.String(),
+		"requests", requests, "repeats", repeats, "hosts", hosts, "last_instance", string(c.to.ID))
+	return allowed
 }
 
 // again decides what follows an attempt without an answer to deliver.
@@ -320,11 +353,11 @@
 	}
 	// An attempt that no instance has seen costs nothing; any other draws on the
 	// budget.
-	part := retry.PartLost
+	cause := RepeatLost
 	if e.Outcome == mesh.NotRun {
-		part = retry.PartRefused
+		cause = RepeatRefused
 	}
-	if e.Reached && !n.repeat(s, c, part) {
+	if e.Reached && !n.repeat(s, c, cause) {
 		n.finish(s, c, mesh.ReasonRetryBudget)
 		return
 	}
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -67,6 +67,8 @@
 	MayQueue    bool
 	Fingerprint mesh.Fingerprint
 	Crashes     uint8
+	// Repeated is set if an instance was handed the request before.
+	Repeated bool
 }
 
 // GateResult tells how an instance ended a request.
@@ -233,6 +235,8 @@
 	LeftToTarget time.Duration
 	MayQueue     bool
 	Crashes      uint8
+	// Repeated is set if an instance was handed the request before.
+	Repeated bool
 
 	// Fields of CallReject. RetryAfter is zero if a new try is useless.
 	Outcome    mesh.Outcome
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -26,6 +26,7 @@
 	route       mesh.Route
 	fingerprint mesh.Fingerprint
 	crashes     uint8
+	repeated    bool
 	dispatched  mesh.Time
 }
 
@@ -72,7 +73,7 @@
 		n.rejectAtGate(s, e.Call, mesh.ReasonOverload, 0)
 		return
 	}
-	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, crashes: check.Crashes}
+	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, crashes: check.Crashes, repeated: e.Repeated}
 	n.gateOut = n.gate.Arrive(s.now, admission.Call{
 		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank),
 		Deadline: s.now.Add(e.Left), Target: s.now.Add(e.LeftToTarget),
@@ -171,6 +172,9 @@
 			n.counters.GateDispatched++
 			if c := n.gateCalls[e.Call]; c != nil {
 				c.dispatched = s.now
+				if c.repeated {
+					n.counters.GateRepeats++
+				}
 			}
 			s.out.Gates = append(s.out.Gates, GateEffect{
 				Call: e.Call, Action: GateDispatch, Instance: e.Instance, Deadline: e.Deadline, Load: e.Load,
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -150,8 +150,10 @@
 // Counters count decisions since the start of the process.
 type Counters struct {
 	Calls, Answered, NotRun, MayHaveRun, Cancelled  uint64
-	Forwards, Repeats, RepeatsRefused               uint64
+	Forwards, RepeatsRefused                        uint64
+	Repeats                                         [repeatCauses]uint64
 	GateCalls, GateDispatched, GateRejected         uint64
+	GateRepeats                                     uint64
 	HostFailures, ConfigApplied                     uint64
 	HeartbeatsTaken, HeartbeatsIgnored, StageWrites uint64
 }
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -49,11 +49,7 @@
 // the number of nodes that share it, and counts it if so.
 func (w *Window) Repeat(now mesh.Time, b WindowBudget, part float64, nodes int) bool {
 	bucket := w.bucket(now, b)
-	requests, repeats := 0, 0
-	for i := range w.buckets {
-		requests += w.buckets[i].requests
-		repeats += w.buckets[i].repeats
-	}
+	requests, repeats := w.Sums(now, b)
 	if float64(repeats+1) > part*(b.Ratio*float64(requests)+b.Extra/float64(max(nodes, 1))) {
 		return false
 	}
@@ -61,6 +57,16 @@
 	return true
 }
 
+// Sums returns the requests and repeats in the window.
+func (w *Window) Sums(now mesh.Time, b WindowBudget) (requests, repeats int) {
+	w.bucket(now, b)
+	for i := range w.buckets {
+		requests += w.buckets[i].requests
+		repeats += w.buckets[i].repeats
+	}
+	return requests, repeats
+}
+
 // bucket clears the spans that have left the window and returns the present one.
 func (w *Window) bucket(now mesh.Time, b WindowBudget) *struct{ requests, repeats int } {
 	span := max(int64(b.Span)/windowBuckets, 1)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -28,6 +28,7 @@
 	leftToTarget time.Duration
 	mayQueue     bool
 	idempotent   bool
+	repeated     bool
 	print        mesh.Fingerprint
 	crashes      uint8
 }
@@ -147,7 +148,7 @@
 	}()
 	n.step(proxy.GateArrived{
 		Call: id, Instance: f.instance, Route: f.route, Rank: f.rank, Left: f.deadline.Sub(n.now()), LeftToTarget: f.leftToTarget,
-		MayQueue: f.mayQueue, Fingerprint: f.print, Crashes: f.crashes,
+		MayQueue: f.mayQueue, Fingerprint: f.print, Crashes: f.crashes, Repeated: f.repeated,
 	})
 	select {
 	case e := <-effects:
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -17,7 +17,9 @@
 	headerPrefix = "Chicory-"
 	headerCall   = "Chicory-Call"
 	headerResult = "Chicory-Result"
-	separator    = ";"
+	// headerRepeated is set on a request that was handed to an instance before.
+	headerRepeated = "Chicory-Repeated"
+	separator      = ";"
 )
 
 // Numbers of fields.
@@ -71,6 +73,9 @@
 		strconv.FormatInt(max(f.deadline.Sub(now).Milliseconds(), 1), 10), strconv.FormatInt(f.leftToTarget.Milliseconds(), 10),
 		strconv.FormatUint(uint64(f.print), 36), strconv.Itoa(int(f.crashes)), formatFlags(f.mayQueue, f.idempotent),
 	}, separator))
+	if f.repeated {
+		h.Set(headerRepeated, "1")
+	}
 }
 
 // decodeForwarded reads a request of another node. It reports false for a
@@ -94,6 +99,7 @@
 		instance: mesh.InstanceID(fields[0]), route: mesh.Route(fields[1]), rank: rank,
 		deadline: now.Add(time.Duration(left) * time.Millisecond), leftToTarget: time.Duration(target) * time.Millisecond,
 		mayQueue: mayQueue, idempotent: idempotent, print: mesh.Fingerprint(print), crashes: uint8(crashes),
+		repeated: r.Header.Get(headerRepeated) != "",
 	}, true
 }
 
