Spend the retry budget once however often nodes restart

Cause: a node counts its repeats in memory. In the first seconds of a fault it spends what ten calm seconds have left over; when its process ends, the next one starts with an empty window and spends the same seconds' budget again. The fixed part was divided by the hosts that are reachable at the moment, so that hosts on both sides of a cut took the whole of it.

Now repeats keep to the budget within each fifth of the window too, so that a process is never far ahead of its requests; the fixed part waits until the window holds nothing of an earlier process; and it is divided by all known hosts. A message to the next process was ruled out: there is nothing on the host to keep it, and peers may be killed at the same moment.

TestIdempotentRequestIsRepeatedWithinItsAttempts starts ten seconds later, since one request alone earns no repeat; what it checks is unchanged.

--- a/internal/proxy/budget_test.go
+++ b/internal/proxy/budget_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -29,6 +31,8 @@
 	requests map[mesh.CallID]*meshRequest // by their number at the entry node
 	runs     map[mesh.CallID]*meshRun     // by their number at the gate
 	arrivals map[mesh.Service]*arrivalCounts
+	asked    map[string]int // clients' requests during the fault, by path
+	served   map[string]int
 }
 
 // meshLoad is a deployment and its traffic.
@@ -61,6 +65,7 @@
 	arrivals     int
 	// ofRepeat is set for a call of a run that is itself a repeat.
 	ofRepeat bool
+	failed   bool // the last answer stated a failure
 	done     func(served bool)
 }
 
@@ -71,6 +76,7 @@
 	attempt     uint8
 	gate, epoch int
 	lists       bool
+	began       mesh.Time // at the instance
 }
 
 // arrivalCounts are counts of a service by tenths of a second.
@@ -112,6 +118,7 @@
 		T: t, meshLoad: load, now: start, random: rand.New(rand.NewPCG(seed, 1)),
 		requests: make(map[mesh.CallID]*meshRequest), runs: make(map[mesh.CallID]*meshRun),
 		arrivals: map[mesh.Service]*arrivalCounts{frontService: {}, backService: {}},
+		asked:    make(map[string]int), served: make(map[string]int),
 	}
 	for i := range load.front + load.back {
 		host := mesh.HostID(fmt.Sprintf("n%02d", i))
@@ -194,7 +201,7 @@
 	}
 	delete(p.requests, e.Call)
 	if r.done != nil {
-		r.done(e.Action == CallRespond)
+		r.done(e.Action == CallRespond && !r.failed)
 	}
 }
 
@@ -235,6 +242,7 @@
 		return
 	}
 	r := run.request
+	run.began = p.now
 	r.arrivals++
 	repeat := r.ofRepeat || r.arrivals > 1
 	if repeat {
@@ -287,7 +295,7 @@
 		return
 	}
 	delete(p.runs, id)
-	gate.Call = id
+	gate.Call, done.Duration = id, p.now.Sub(run.began)
 	p.step(run.gate, gate)
 	if node := p.hosts[run.gate].node; node != nil {
 		done.Load, done.HasLoad = node.LocalLoad(), true
@@ -298,6 +306,7 @@
 func (p *meshPlay) finish(run *meshRun, done AttemptDone) {
 	done.Call, done.Attempt = run.call, run.attempt
 	r := run.request
+	r.failed = done.Failed
 	p.after(simulatedHop, func() {
 		if p.hosts[r.entry].epoch == r.epoch {
 			p.step(r.entry, done)
@@ -368,7 +377,15 @@
 	}
 	var next func()
 	next = func() {
-		p.arrive(p.random.IntN(len(p.hosts)), path, service, clientPatience, false, nil)
+		faulty := p.faulty()
+		p.arrive(p.random.IntN(len(p.hosts)), path, service, clientPatience, false, func(served bool) {
+			if faulty {
+				p.asked[path]++
+			}
+			if faulty && served {
+				p.served[path]++
+			}
+		})
 		p.after(time.Duration(p.random.ExpFloat64()*float64(time.Second)/perSecond), next)
 	}
 	p.after(0, next)
@@ -407,6 +424,14 @@
 	}
 }
 
+// logServed logs what clients get while the fault lasts.
+func (p *meshPlay) logServed() {
+	p.Helper()
+	for _, path := range slices.Sorted(maps.Keys(p.asked)) {
+		p.Logf("%s: %.3f answered", path, float64(p.served[path])/float64(p.asked[path]))
+	}
+}
+
 // ordinaryLoad is the traffic of a small deployment whose lists need two calls.
 func ordinaryLoad() meshLoad {
 	return meshLoad{
@@ -447,10 +472,20 @@
 			p := newMeshPlay(t, 1, load)
 			p.play(30 * time.Second)
 			p.checkBudget()
+			p.logServed()
 		})
 	}
 }
 
+// oneAfterTheOther restarts hosts every half second.
+func oneAfterTheOther(from time.Duration, hosts []int) map[time.Duration][]int {
+	restarts := make(map[time.Duration][]int)
+	for i, host := range hosts {
+		restarts[from+time.Duration(i)*500*time.Millisecond] = []int{host}
+	}
+	return restarts
+}
+
 // Guards against nodes that spend the budget again after each restart.
 func TestRestartedNodesDoNotSpendTheBudgetAgain(t *testing.T) {
 	hosts := func(n int) (list []int) {
@@ -465,16 +500,44 @@
 	}{
 		{"half, then most", map[time.Duration][]int{15 * time.Second: hosts(7), 19 * time.Second: hosts(12)}},
 		{"all", map[time.Duration][]int{14 * time.Second: hosts(13)}},
+		{"all, as the fault begins", map[time.Duration][]int{13 * time.Second: hosts(13)}},
+		{"all but one in turn", oneAfterTheOther(13*time.Second, hosts(12))},
 		{"most, three times", map[time.Duration][]int{14 * time.Second: hosts(12), 17 * time.Second: hosts(12), 20 * time.Second: hosts(12)}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			load := ordinaryLoad()
 			load.callShare, load.restarts = 0, c.restarts
 			load.balance = 400 // in place of the calls
-			load.refuse = map[mesh.Service]float64{frontService: 0.6, backService: 0.6}
+			load.refuse = map[mesh.Service]float64{frontService: 0.8, backService: 0.8}
 			p := newMeshPlay(t, 1, load)
 			p.play(30 * time.Second)
 			p.checkBudget()
+			p.logServed()
 		})
 	}
 }
+
+// Guards against hosts that are cut off from each other and share out the fixed
+// part of the budget among those that are left on each side.
+func TestCutOffHostsKeepTheirShareOfTheBudget(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	r.now = r.now.Add(10 * time.Second)
+	const calls, hosts = 20, 8
+	for i := range hosts - 4 {
+		host := mesh.HostID(fmt.Sprintf("cut%d", i))
+		r.step(MembersSeen{Members: []Member{remote(host, "i-"+mesh.InstanceID(host), 1)}})
+		r.step(PeerChecked{Host: host})
+	}
+	repeats := 0
+	for id := range mesh.CallID(calls) {
+		e := r.call(id+1, "/read/1")
+		e = r.done(e, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonOverload, Reached: true})
+		if e.Action == CallForward {
+			repeats++
+			r.done(e, AttemptDone{Outcome: mesh.Answered, Reached: true})
+		}
+	}
+	is.True(repeats > 0)
+	is.True(float64(repeats) <= 0.2*calls+60.0/hosts)
+}
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -300,8 +300,9 @@
 
 // repeat draws on the shared budget for one more attempt at an instance.
 func (n *Node) repeat(s *step, c *call, cause RepeatCause) bool {
-	window, hosts := n.window(c.service), n.liveHosts()
-	allowed := window.Repeat(s.now, n.settings.Repeats, repeatParts[cause], hosts)
+	// Hosts that can't be reached may go on spending their share.
+	window, hosts := n.window(c.service), len(n.members)
+	allowed := window.Repeat(s.now, n.repeatBudget(s.now), repeatParts[cause], hosts)
 	kind := "call.repeated"
 	if allowed {
 		n.counters.Repeats[cause]++
@@ -316,6 +317,16 @@
 	return allowed
 }
 
+// repeatBudget returns the budget that this process may use. The fixed part waits
+// until the window holds nothing of the process before it on this host.
+func (n *Node) repeatBudget(now mesh.Time) retry.WindowBudget {
+	b := n.settings.Repeats
+	if now.Sub(n.started) < b.Span {
+		b.Extra = 0
+	}
+	return b
+}
+
 // again decides what follows an attempt without an answer to deliver.
 func (n *Node) again(s *step, c *call, e AttemptDone) {
 	if e.Outcome == mesh.Answered { // its repeat is paid for
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -179,17 +179,6 @@
 	}
 }
 
-// liveHosts returns the number of hosts that take part.
-func (n *Node) liveHosts() int {
-	live := 0
-	for _, m := range n.members {
-		if m.reachable && !m.Leaving {
-			live++
-		}
-	}
-	return live
-}
-
 // rank returns the place of this host among the live ones.
 func (n *Node) rank() int {
 	rank := 0
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -172,6 +172,7 @@
 func TestIdempotentRequestIsRepeatedWithinItsAttempts(t *testing.T) {
 	is := is.New(t)
 	r := newRig(t).serving()
+	r.now = r.now.Add(10 * time.Second) // the fixed part of the budget counts from here
 	first := r.call(1, "/read/1")
 	second := r.done(first, AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true})
 	is.Equal(second.Action, CallForward)
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -10,6 +10,11 @@
 // exact to one span.
 const windowBuckets = 20
 
+// burstBuckets is the number of the latest spans in which repeats keep to the
+// budget by themselves. A process that ends has then spent little ahead of its
+// requests, which the next process on its host knows nothing of.
+const burstBuckets = windowBuckets / 5
+
 // WindowBudget bounds the repeated attempts of a service in a sliding window,
 // over all nodes of the deployment.
 type WindowBudget struct {
@@ -49,9 +54,11 @@
 // the number of nodes that share it, and counts it if so.
 func (w *Window) Repeat(now mesh.Time, b WindowBudget, part float64, nodes int) bool {
 	bucket := w.bucket(now, b)
-	requests, repeats := w.Sums(now, b)
-	if float64(repeats+1) > part*(b.Ratio*float64(requests)+b.Extra/float64(max(nodes, 1))) {
-		return false
+	for _, buckets := range [...]int{burstBuckets, windowBuckets} {
+		requests, repeats := w.latest(buckets)
+		if float64(repeats+1) > part*(b.Ratio*float64(requests)+b.Extra/float64(max(nodes, 1))) {
+			return false
+		}
 	}
 	bucket.repeats++
 	return true
@@ -60,9 +67,15 @@
 // Sums returns the requests and repeats in the window.
 func (w *Window) Sums(now mesh.Time, b WindowBudget) (requests, repeats int) {
 	w.bucket(now, b)
-	for i := range w.buckets {
-		requests += w.buckets[i].requests
-		repeats += w.buckets[i].repeats
+	return w.latest(windowBuckets)
+}
+
+// latest returns the requests and repeats in a number of spans up to the present.
+func (w *Window) latest(buckets int) (requests, repeats int) {
+	for i := range int64(buckets) {
+		bucket := w.buckets[(w.current+windowBuckets-i)%windowBuckets]
+		requests += bucket.requests
+		repeats += bucket.repeats
 	}
 	return requests, repeats
 }
