Count the calls of repeated runs as repeats of the called service

Cause: a run that is a repeat makes its calls again, and these are repeats where they arrive. The entry node of such a call took it for a first attempt, which spent nothing and even raised the budget. Lower parts of the budget, by the cause of the repeat, were to leave room for it; how much is needed depends on the calls of each run and on the depth of the call tree, which no constant can know. One part was wrong by itself: a refused request has made no calls, but its repeat makes them.

Now an arrival carries the probability that it is a repeat: 1 for a repeat, for a call the share of repeats among the recent runs of the instance that makes it, which its entry node knows as that instance's gate. It is passed on down the call tree. The calls count against the called service's window, and its own repeats use what they leave. Each route keeps to the budget by itself, with a quarter of the fixed part, so that the calls of one route's repeats stay within the same share of its calls whatever the other routes of its service are. Clients' requests for other services at the same address can't be told from calls and are counted alike.

Ruled out: gates that refuse repeats once calls exceed a budget.

TestRepeatIsMarkedDownTheCallTree is new.

--- a/internal/proxy/budget_test.go
+++ b/internal/proxy/budget_test.go
@@ -477,6 +477,40 @@
 	}
 }
 
+// Guards against a repeat whose calls, and theirs, look like first attempts.
+func TestRepeatIsMarkedDownTheCallTree(t *testing.T) {
+	is := is.New(t)
+	play := newMeshPlay(t, 1, ordinaryLoad())
+	front := play.hosts[0]
+	arrived := GateArrived{Call: 1 << 20, Instance: front.member.Instance.ID, Route: "list", Left: time.Second, LeftToTarget: time.Second}
+	call := func() float64 {
+		var out Ready
+		play.nextID++
+		front.node.Step(play.now, 1, CallArrived{Call: play.nextID, Host: "a", Path: "/stock/1", Budget: time.Second}, &out)
+		return out.Calls[0].Repeated
+	}
+	run := func(repeated float64) {
+		var out Ready
+		arrived.Call++
+		arrived.Repeated = repeated
+		front.node.Step(play.now, 1, arrived, &out)
+		front.node.Step(play.now, 1, GateDone{Call: arrived.Call, Result: GateAnswered}, &out)
+	}
+	for range 6 {
+		run(0)
+	}
+	is.Equal(call(), 0.0)
+	run(1)
+	run(1)
+	play.now = play.now.Add(shareInterval)
+	is.Equal(call(), 0.25) // of eight runs
+	play.now = play.now.Add(2 * runSpan)
+	for range 6 {
+		run(0.5) // calls of runs that are repeats with this probability
+	}
+	is.Equal(call(), 0.5)
+}
+
 // oneAfterTheOther restarts hosts every half second.
 func oneAfterTheOther(from time.Duration, hosts []int) map[time.Duration][]int {
 	restarts := make(map[time.Duration][]int)
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -8,7 +8,6 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
-	"github.com/chicoryscale/chicoryscale/internal/retry"
 )
 
 const (
@@ -58,8 +57,8 @@
 	closed     int  // gates that took no request for their instance
 	queued     bool // the attempt in flight may wait for a slot
 	probes     int  // gates to be asked for a free slot before that
-	// repeated is set once an attempt has drawn on the budget for repeats.
-	repeated bool
+	// repeated is the probability that the next arrival at an instance is a repeat.
+	repeated float64
 	// runs counts the attempts that an instance may have run.
 	runs int
 	// full lists the instances whose gates had no slot, refused those whose queues
@@ -145,7 +144,7 @@
 	c.deadline = s.now.Add(limit)
 	c.target = s.now.Add(route.TargetLatency - n.spent(route.Name, e.Budget))
 	n.calls[e.Call] = c
-	n.window(c.service).Request(s.now, n.settings.Repeats)
+	n.countRequest(s, c)
 	n.place(s, c)
 }
 
@@ -183,15 +182,6 @@
 	})
 }
 
-func (n *Node) window(service mesh.Service) *retry.Window {
-	w := n.windows[service]
-	if w == nil {
-		w = &retry.Window{}
-		n.windows[service] = w
-	}
-	return w
-}
-
 // place sends the call to the gate of the instance that is expected to answer
 // first. The first gates are asked for a free slot; after that the call may wait.
 func (n *Node) place(s *step, c *call) {
@@ -276,57 +266,6 @@
 	return n.repeat(s, c, RepeatFailed)
 }
 
-// RepeatCause is the end of an attempt that is followed by a repeat.
-type RepeatCause uint8
-
-// Causes of repeats.
-const (
-	// RepeatRefused follows an instance's word that it has not run the request.
-	RepeatRefused RepeatCause = iota
-	// RepeatLost follows an attempt without an answer, which may have run.
-	RepeatLost
-	// RepeatFailed follows an answer that states a failure.
-	RepeatFailed
-	repeatCauses
-)
-
-var repeatCauseNames = [repeatCauses]string{"refused", "lost", "failed"}
-
-// String implements fmt.Stringer.
-func (c RepeatCause) String() string { return repeatCauseNames[c] }
-
-// repeatParts are the parts of the budget by the cause of the repeat.
-var repeatParts = [repeatCauses]float64{retry.PartRefused, retry.PartLost, retry.PartFailed}
-
-// repeat draws on the shared budget for one more attempt at an instance.
-func (n *Node) repeat(s *step, c *call, cause RepeatCause) bool {
-	// Hosts that can't be reached may go on spending their share.
-	window, hosts := n.window(c.service), len(n.members)
-	allowed := window.Repeat(s.now, n.repeatBudget(s.now), repeatParts[cause], hosts)
-	kind := "call.repeated"
-	if allowed {
-		n.counters.Repeats[cause]++
-		c.repeated = true
-	} else {
-		n.counters.RepeatsRefused++
-		kind = "call.repeat_refused"
-	}
-	requests, repeats := window.Sums(s.now, n.settings.Repeats)
-	s.record(kind, "call", uint64(c.id), "route", string(c.route.Name), "service", string(c.service), "cause", cause.String(),
-		"requests", requests, "repeats", repeats, "hosts", hosts, "last_instance", string(c.to.ID))
-	return allowed
-}
-
-// repeatBudget returns the budget that this process may use. The fixed part waits
-// until the window holds nothing of the process before it on this host.
-func (n *Node) repeatBudget(now mesh.Time) retry.WindowBudget {
-	b := n.settings.Repeats
-	if now.Sub(n.started) < b.Span {
-		b.Extra = 0
-	}
-	return b
-}
-
 // again decides what follows an attempt without an answer to deliver.
 func (n *Node) again(s *step, c *call, e AttemptDone) {
 	if e.Outcome == mesh.Answered { // its repeat is paid for
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -67,8 +67,9 @@
 	MayQueue    bool
 	Fingerprint mesh.Fingerprint
 	Crashes     uint8
-	// Repeated is set if an instance was handed the request before.
-	Repeated bool
+	// Repeated is the probability that the arrival is a repeat: 1 if an instance was
+	// handed the request before.
+	Repeated float64
 }
 
 // GateResult tells how an instance ended a request.
@@ -235,8 +236,9 @@
 	LeftToTarget time.Duration
 	MayQueue     bool
 	Crashes      uint8
-	// Repeated is set if an instance was handed the request before.
-	Repeated bool
+	// Repeated is the probability that the arrival is a repeat: 1 if an instance was
+	// handed the request before.
+	Repeated float64
 
 	// Fields of CallReject. RetryAfter is zero if a new try is useless.
 	Outcome    mesh.Outcome
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -26,7 +26,7 @@
 	route       mesh.Route
 	fingerprint mesh.Fingerprint
 	crashes     uint8
-	repeated    bool
+	repeated    float64
 	dispatched  mesh.Time
 }
 
@@ -172,7 +172,8 @@
 			n.counters.GateDispatched++
 			if c := n.gateCalls[e.Call]; c != nil {
 				c.dispatched = s.now
-				if c.repeated {
+				n.runs.begin(s.now, c.route, c.repeated)
+				if c.repeated == 1 {
 					n.counters.GateRepeats++
 				}
 			}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -44,8 +44,12 @@
 	poison   *poison.Table
 	rollouts *rollout.Reducer
 	windows  map[mesh.Service]*retry.Window
-	splits   map[mesh.Route]*split
-	longest  map[mesh.Route]time.Duration // longest time that a client of the route waits
+	// routeWindows count the requests and repeats of each route at this node, runs
+	// those of the instance on this host.
+	routeWindows map[mesh.Route]*retry.Window
+	runs         instanceRuns
+	splits       map[mesh.Route]*split
+	longest      map[mesh.Route]time.Duration // longest time that a client of the route waits
 
 	waiting   []waitingCall // for the first configuration, oldest first
 	calls     map[mesh.CallID]*call
@@ -82,20 +86,22 @@
 // New returns the reducer of a node that knows nothing yet.
 func New(now mesh.Time, s Settings) *Node {
 	n := &Node{
-		settings:  s,
-		table:     placement.New(s.Domain),
-		gate:      admission.New(admission.Limits{QueuePerSlot: queuePerSlot, InitialServiceTime: initialServiceTime}),
-		poison:    poison.New(),
-		rollouts:  rollout.New(s.Host),
-		windows:   make(map[mesh.Service]*retry.Window),
-		splits:    make(map[mesh.Route]*split),
-		longest:   make(map[mesh.Route]time.Duration),
-		calls:     make(map[mesh.CallID]*call),
-		gateCalls: make(map[mesh.CallID]*gateCall),
-		members:   make(map[mesh.HostID]*member),
-		forgotten: make(map[mesh.HostID]forgottenHost),
-		seen:      make(map[mesh.InstanceID]mesh.Time),
-		started:   now,
+		settings:     s,
+		table:        placement.New(s.Domain),
+		gate:         admission.New(admission.Limits{QueuePerSlot: queuePerSlot, InitialServiceTime: initialServiceTime}),
+		poison:       poison.New(),
+		rollouts:     rollout.New(s.Host),
+		windows:      make(map[mesh.Service]*retry.Window),
+		routeWindows: make(map[mesh.Route]*retry.Window),
+		runs:         instanceRuns{routes: make(map[mesh.Route]*retry.Window)},
+		splits:       make(map[mesh.Route]*split),
+		longest:      make(map[mesh.Route]time.Duration),
+		calls:        make(map[mesh.CallID]*call),
+		gateCalls:    make(map[mesh.CallID]*gateCall),
+		members:      make(map[mesh.HostID]*member),
+		forgotten:    make(map[mesh.HostID]forgottenHost),
+		seen:         make(map[mesh.InstanceID]mesh.Time),
+		started:      now,
 	}
 	n.self = Member{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr,
@@ -174,13 +180,18 @@
 	n.config = e.Snapshot
 	n.counters.ConfigApplied++
 	kept := make(map[mesh.Route]*split)
+	windows := make(map[mesh.Route]*retry.Window)
 	for i := range e.Snapshot.Routes {
 		name := e.Snapshot.Routes[i].Name
 		if old := n.splits[name]; old != nil {
 			kept[name] = old
 		}
+		if old := n.routeWindows[name]; old != nil {
+			windows[name] = old
+		}
 	}
 	n.splits = kept
+	n.routeWindows = windows
 	s.record("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
 	n.probeEarlier(s)
 	if len(n.waiting) > 0 {
--- /dev/null
+++ b/internal/proxy/repeats.go
@@ -0,0 +1,158 @@
+package proxy
+
+import (
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/retry"
+)
+
+// Which attempts are repeats, and when another one is within the budget that all
+// nodes share. A run that is a repeat makes its calls again, and these are repeats
+// at the services that are called. A call names no run that made it, so its entry
+// node, which is the gate of that run, goes by the share of repeats among the runs
+// of its instance.
+
+// RepeatCause is the end of an attempt that is followed by a repeat.
+type RepeatCause uint8
+
+// Causes of repeats.
+const (
+	// RepeatRefused follows an instance's word that it has not run the request.
+	RepeatRefused RepeatCause = iota
+	// RepeatLost follows an attempt without an answer, which may have run.
+	RepeatLost
+	// RepeatFailed follows an answer that states a failure.
+	RepeatFailed
+	repeatCauses
+)
+
+var repeatCauseNames = [repeatCauses]string{"refused", "lost", "failed"}
+
+// String implements fmt.Stringer.
+func (c RepeatCause) String() string { return repeatCauseNames[c] }
+
+// repeatParts are the parts of the budget by the cause of the repeat.
+var repeatParts = [repeatCauses]float64{retry.PartRefused, retry.PartLost, retry.PartFailed}
+
+// routeExtra is the part of the fixed budget that a route may use. Runs that make
+// up to six calls then cause no more repeats at another service than its own fixed
+// budget holds.
+const routeExtra = 0.25
+
+// repeat draws on the shared budget for one more attempt at an instance.
+func (n *Node) repeat(s *step, c *call, cause RepeatCause) bool {
+	// Hosts that can't be reached may go on spending their share.
+	b, part, hosts := n.repeatBudget(s.now), repeatParts[cause], len(n.members)
+	service, route := n.window(c.service), n.routeWindow(c.route.Name)
+	// A route keeps to the budget too: the calls of its repeated runs then stay
+	// within that share of all its calls, whatever other routes its service has.
+	ofRoute := b
+	ofRoute.Extra *= routeExtra
+	allowed := service.Allows(s.now, b, part, hosts) && route.Allows(s.now, ofRoute, part, hosts)
+	kind := "call.repeated"
+	if allowed {
+		service.Repeat(s.now, b)
+		route.Repeat(s.now, b)
+		n.counters.Repeats[cause]++
+		c.repeated = 1
+	} else {
+		n.counters.RepeatsRefused++
+		kind = "call.repeat_refused"
+	}
+	requests, repeats := service.Sums(s.now, b)
+	routeRequests, routeRepeats := route.Sums(s.now, b)
+	s.record(kind, "call", uint64(c.id), "route", string(c.route.Name), "service", string(c.service), "cause", cause.String(),
+		"requests", int(requests), "repeats", int(repeats), "route_requests", int(routeRequests), "route_repeats", int(routeRepeats),
+		"hosts", hosts, "last_instance", string(c.to.ID))
+	return allowed
+}
+
+// repeatBudget returns the budget that this process may use. The fixed part waits
+// until the window holds nothing of the process before it on this host.
+func (n *Node) repeatBudget(now mesh.Time) retry.WindowBudget {
+	b := n.settings.Repeats
+	if now.Sub(n.started) < b.Span {
+		b.Extra = 0
+	}
+	return b
+}
+
+// countRequest counts the first attempt of a request against the budgets.
+func (n *Node) countRequest(s *step, c *call) {
+	if c.service != n.local.service { // instances don't call their own service
+		c.repeated = n.runs.repeatedShare(s.now)
+	}
+	n.window(c.service).Request(s.now, n.settings.Repeats, c.repeated)
+	n.routeWindow(c.route.Name).Request(s.now, n.settings.Repeats, c.repeated)
+}
+
+func (n *Node) window(service mesh.Service) *retry.Window {
+	w := n.windows[service]
+	if w == nil {
+		w = &retry.Window{}
+		n.windows[service] = w
+	}
+	return w
+}
+
+func (n *Node) routeWindow(route mesh.Route) *retry.Window {
+	w := n.routeWindows[route]
+	if w == nil {
+		w = &retry.Window{}
+		n.routeWindows[route] = w
+	}
+	return w
+}
+
+const (
+	// runSpan is the time over which the runs of an instance are counted. Most of
+	// the calls that arrive come from runs of that time.
+	runSpan = 2 * time.Second
+	// shareInterval is the time for which a share is used before it is worked out
+	// anew.
+	shareInterval = 100 * time.Millisecond
+	// leastRuns is the number of runs of a route from which its share is taken as it
+	// is. One repeat among a few runs says little.
+	leastRuns = 4
+)
+
+// instanceRuns counts the runs of the instance on this host and the repeats among
+// them, by route.
+type instanceRuns struct {
+	routes   map[mesh.Route]*retry.Window
+	share    float64
+	sharedAt mesh.Time
+}
+
+// begin counts a run that is a repeat with the given probability.
+func (r *instanceRuns) begin(now mesh.Time, route mesh.Route, repeated float64) {
+	w := r.routes[route]
+	if w == nil {
+		w = &retry.Window{}
+		r.routes[route] = w
+	}
+	w.Request(now, runBudget, repeated)
+}
+
+// runBudget gives the windows of runs their span.
+var runBudget = retry.WindowBudget{Span: runSpan}
+
+// repeatedShare returns the probability that a call of the instance comes from a
+// repeated run. Which of its routes make calls isn't known, so it is that of the
+// route with the most repeats.
+func (r *instanceRuns) repeatedShare(now mesh.Time) float64 {
+	if now.Sub(r.sharedAt) < shareInterval {
+		return r.share
+	}
+	r.share, r.sharedAt = 0, now
+	for route, w := range r.routes {
+		first, repeats := w.Sums(now, runBudget)
+		if first+repeats == 0 {
+			delete(r.routes, route)
+			continue
+		}
+		r.share = max(r.share, repeats/max(first+repeats, leastRuns))
+	}
+	return r.share
+}
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -26,11 +26,10 @@
 	Span time.Duration
 }
 
-// Parts of the budget that a node uses up, by the cause of the repeat. The rest
-// covers the calls that repeated requests make again at other services.
+// Parts of the budget that a node uses up, by the cause of the repeat.
 const (
 	// PartRefused is for requests that an instance has refused without running
-	// them: these have made no calls.
+	// them. The rest covers what nodes estimate wrongly.
 	PartRefused = 0.65
 	// PartLost is for requests that may have run.
 	PartLost = 0.3
@@ -39,41 +38,50 @@
 	PartFailed = 0.2
 )
 
-// Window counts the requests and repeats of one service at one node. A node
-// uses its share of the common budget without asking others, so that the sum
+// Window counts the requests and repeats of one service or route at one node. A
+// node uses its share of the common budget without asking others, so that the sum
 // holds while nodes cannot talk.
 type Window struct {
-	buckets [windowBuckets]struct{ requests, repeats int }
+	buckets [windowBuckets]windowCounts
 	current int64 // number of the span that is counted in
 }
 
-// Request counts the first attempt of a request.
-func (w *Window) Request(now mesh.Time, b WindowBudget) { w.bucket(now, b).requests++ }
+type windowCounts struct{ requests, repeats float64 }
 
-// Repeat reports whether another attempt is within a part of the budget, given
-// the number of nodes that share it, and counts it if so.
-func (w *Window) Repeat(now mesh.Time, b WindowBudget, part float64, nodes int) bool {
+// Request counts the first attempt of a request. repeated is the probability that
+// a repeated run has made the request: its arrivals are then all repeats.
+func (w *Window) Request(now mesh.Time, b WindowBudget, repeated float64) {
 	bucket := w.bucket(now, b)
+	bucket.requests += 1 - repeated
+	bucket.repeats += repeated
+}
+
+// Allows reports whether another attempt is within a part of the budget, given the
+// number of nodes that share it.
+func (w *Window) Allows(now mesh.Time, b WindowBudget, part float64, nodes int) bool {
+	w.bucket(now, b)
 	for _, buckets := range [...]int{burstBuckets, windowBuckets} {
 		requests, repeats := w.latest(buckets)
-		if float64(repeats+1) > part*(b.Ratio*float64(requests)+b.Extra/float64(max(nodes, 1))) {
+		if repeats+1 > part*(b.Ratio*requests+b.Extra/float64(max(nodes, 1))) {
 			return false
 		}
 	}
-	bucket.repeats++
 	return true
 }
 
+// Repeat counts another attempt.
+func (w *Window) Repeat(now mesh.Time, b WindowBudget) { w.bucket(now, b).repeats++ }
+
 // Sums returns the requests and repeats in the window.
-func (w *Window) Sums(now mesh.Time, b WindowBudget) (requests, repeats int) {
+func (w *Window) Sums(now mesh.Time, b WindowBudget) (requests, repeats float64) {
 	w.bucket(now, b)
 	return w.latest(windowBuckets)
 }
 
 // latest returns the requests and repeats in a number of spans up to the present.
-func (w *Window) latest(buckets int) (requests, repeats int) {
+func (w *Window) latest(buckets int) (requests, repeats float64) {
 	for i := range int64(buckets) {
-		bucket := w.buckets[(w.current+windowBuckets-i)%windowBuckets]
+		bucket := &w.buckets[(w.current+windowBuckets-i)%windowBuckets]
 		requests += bucket.requests
 		repeats += bucket.repeats
 	}
@@ -81,11 +89,11 @@
 }
 
 // bucket clears the spans that have left the window and returns the present one.
-func (w *Window) bucket(now mesh.Time, b WindowBudget) *struct{ requests, repeats int } {
+func (w *Window) bucket(now mesh.Time, b WindowBudget) *windowCounts {
 	span := max(int64(b.Span)/windowBuckets, 1)
 	at := int64(now) / span
 	for n := max(w.current, at-windowBuckets); n < at; n++ {
-		w.buckets[(n+1)%windowBuckets] = struct{ requests, repeats int }{}
+		w.buckets[(n+1)%windowBuckets] = windowCounts{}
 	}
 	w.current = max(w.current, at)
 	return &w.buckets[w.current%windowBuckets]
--- a/internal/retry/window_test.go
+++ b/internal/retry/window_test.go
@@ -21,9 +21,10 @@
 		now := mesh.Time(tick+1000) * mesh.Time(100*time.Millisecond)
 		for n := range windows {
 			for range perSecond / 10 {
-				windows[n].Request(now, budget)
+				windows[n].Request(now, budget, 0)
 				requests[tick]++
-				if windows[n].Repeat(now, budget, PartLost, nodes) { // every request fails
+				if windows[n].Allows(now, budget, PartLost, nodes) { // every request fails
+					windows[n].Repeat(now, budget)
 					repeats[tick]++
 				}
 			}
@@ -45,8 +46,9 @@
 	budget := WindowBudget{Extra: 5, Span: 10 * time.Second}
 	var w Window
 	now := mesh.Time(time.Hour)
-	for w.Repeat(now, budget, PartLost, 1) {
+	for w.Allows(now, budget, PartLost, 1) {
+		w.Repeat(now, budget)
 	}
-	is.True(!w.Repeat(now.Add(9*time.Second), budget, PartLost, 1))
-	is.True(w.Repeat(now.Add(11*time.Second), budget, PartLost, 1))
+	is.True(!w.Allows(now.Add(9*time.Second), budget, PartLost, 1))
+	is.True(w.Allows(now.Add(11*time.Second), budget, PartLost, 1))
 }
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -28,7 +28,7 @@
 	leftToTarget time.Duration
 	mayQueue     bool
 	idempotent   bool
-	repeated     bool
+	repeated     float64 // probability that the arrival is a repeat
 	print        mesh.Fingerprint
 	crashes      uint8
 }
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -17,7 +17,8 @@
 	headerPrefix = "Chicory-"
 	headerCall   = "Chicory-Call"
 	headerResult = "Chicory-Result"
-	// headerRepeated is set on a request that was handed to an instance before.
+	// headerRepeated states the probability that an arrival is a repeat, if there is
+	// any.
 	headerRepeated = "Chicory-Repeated"
 	separator      = ";"
 )
@@ -73,8 +74,8 @@
 		strconv.FormatInt(max(f.deadline.Sub(now).Milliseconds(), 1), 10), strconv.FormatInt(f.leftToTarget.Milliseconds(), 10),
 		strconv.FormatUint(uint64(f.print), 36), strconv.Itoa(int(f.crashes)), formatFlags(f.mayQueue, f.idempotent),
 	}, separator))
-	if f.repeated {
-		h.Set(headerRepeated, "1")
+	if f.repeated > 0 {
+		h.Set(headerRepeated, strconv.FormatFloat(f.repeated, 'g', 2, 64))
 	}
 }
 
@@ -99,10 +100,19 @@
 		instance: mesh.InstanceID(fields[0]), route: mesh.Route(fields[1]), rank: rank,
 		deadline: now.Add(time.Duration(left) * time.Millisecond), leftToTarget: time.Duration(target) * time.Millisecond,
 		mayQueue: mayQueue, idempotent: idempotent, print: mesh.Fingerprint(print), crashes: uint8(crashes),
-		repeated: r.Header.Get(headerRepeated) != "",
+		repeated: probability(r.Header.Get(headerRepeated)),
 	}, true
 }
 
+// probability reads a probability. Anything else reads as zero.
+func probability(text string) float64 {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(v >= 0 && v <= 1) {
+		return 0
+	}
+	return v
+}
+
 // formatFlags writes two flags as one digit.
 func formatFlags(first, second bool) string {
 	v := 0
--- a/internal/sidecar/headers_test.go
+++ b/internal/sidecar/headers_test.go
@@ -18,7 +18,7 @@
 	is := is.New(t)
 	in := forwarded{
 		instance: "i-1", route: "r", rank: 2, deadline: testNow.Add(time.Second), leftToTarget: -20 * time.Millisecond,
-		mayQueue: true, print: 1 << 63, crashes: 1,
+		mayQueue: true, print: 1 << 63, crashes: 1, repeated: 0.25,
 	}
 	r := httptest.NewRequest(http.MethodGet, "/x?y=1", nil)
 	in.encode(r.Header, testNow)
