Draw on the retry budget after an answer that no gate has given

An attempt that ends with an answer without a gate's result may have run, but its repeat cost nothing, since the attempt did not count as one that has reached an instance. Only an attempt that no instance has seen is free now.

TestRepeatAfterAnUnknownEndDrawsOnTheBudget failed before: 500 calls were repeated 500 times, 160 are allowed.

--- a/internal/proxy/budget_test.go
+++ b/internal/proxy/budget_test.go
@@ -551,6 +551,23 @@
 	}
 }
 
+// Guards against repeats that cost nothing after an answer that no gate has given:
+// the request may have run.
+func TestRepeatAfterAnUnknownEndDrawsOnTheBudget(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	const calls = 500
+	repeats := 0
+	for id := range mesh.CallID(calls) {
+		e := r.done(r.call(id+1, "/read/1"), AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonBadRequest})
+		if e.Action == CallForward {
+			repeats++
+			r.done(e, AttemptDone{Outcome: mesh.Answered, Reached: true})
+		}
+	}
+	is.True(repeats > 0 && repeats <= 0.2*calls+60)
+}
+
 // Guards against hosts that are cut off from each other and share out the fixed
 // part of the budget among those that are left on each side.
 func TestCutOffHostsKeepTheirShareOfTheBudget(t *testing.T) {
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -307,7 +307,7 @@
 	if e.Outcome == mesh.NotRun {
 		cause = RepeatRefused
 	}
-	if e.Reached && !n.repeat(s, c, cause) {
+	if !unseen && !n.repeat(s, c, cause) {
 		n.finish(s, c, mesh.ReasonRetryBudget)
 		return
 	}
