Use more of the retry budget now that calls are counted

The parts of the budget for refused and lost requests were held low to leave room for the calls of repeated runs. These are counted themselves now, so a node may use 0.8 of the budget after a refusal and 0.6 after a loss. What is left covers the burst of a fifth of a window around a restart.

--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -29,10 +29,12 @@
 // Parts of the budget that a node uses up, by the cause of the repeat.
 const (
 	// PartRefused is for requests that an instance has refused without running
-	// them. The rest covers what nodes estimate wrongly.
-	PartRefused = 0.65
-	// PartLost is for requests that may have run.
-	PartLost = 0.3
+	// them. With the bursts that burstBuckets allows after a restart it fills the
+	// budget.
+	PartRefused = 0.8
+	// PartLost is for requests that may have run. The work was done, and is done
+	// again.
+	PartLost = 0.6
 	// PartFailed is for answers that state a failure. A failure that comes from an
 	// overloaded service further on would be multiplied by repeats.
 	PartFailed = 0.2
