Tell requests of clients from calls of the instance

Clients and the instance of a host send to the same address, and all their requests for other services counted as calls of repeated runs with the same probability.

A call arrives only while the instance has a run in progress. Requests that arrive without one are now known to be clients', and their rate in the time without runs tells which share of a route's other requests are clients' too. Where an instance is never without runs all count as calls, as before.

--- a/internal/proxy/budget_test.go
+++ b/internal/proxy/budget_test.go
@@ -483,22 +483,23 @@
 	play := newMeshPlay(t, 1, ordinaryLoad())
 	front := play.hosts[0]
 	arrived := GateArrived{Call: 1 << 20, Instance: front.member.Instance.ID, Route: "list", Left: time.Second, LeftToTarget: time.Second}
+	begin := func(repeated float64) GateDone {
+		arrived.Call++
+		arrived.Repeated = repeated
+		front.node.Step(play.now, 1, arrived, &Ready{})
+		return GateDone{Call: arrived.Call, Result: GateAnswered}
+	}
+	run := func(repeated float64) { front.node.Step(play.now, 1, begin(repeated), &Ready{}) }
 	call := func() float64 {
 		var out Ready
 		play.nextID++
 		front.node.Step(play.now, 1, CallArrived{Call: play.nextID, Host: "a", Path: "/stock/1", Budget: time.Second}, &out)
 		return out.Calls[0].Repeated
 	}
-	run := func(repeated float64) {
-		var out Ready
-		arrived.Call++
-		arrived.Repeated = repeated
-		front.node.Step(play.now, 1, arrived, &out)
-		front.node.Step(play.now, 1, GateDone{Call: arrived.Call, Result: GateAnswered}, &out)
-	}
-	for range 6 {
+	for range 5 {
 		run(0)
 	}
+	last := begin(0)
 	is.Equal(call(), 0.0)
 	run(1)
 	run(1)
@@ -509,6 +510,21 @@
 		run(0.5) // calls of runs that are repeats with this probability
 	}
 	is.Equal(call(), 0.5)
+	front.node.Step(play.now, 1, last, &Ready{})
+	is.Equal(call(), 0.0) // without a run it is a client's
+}
+
+// Guards against requests of clients that use up the budget as if they were calls.
+func TestRequestsOfClientsAreToldFromCalls(t *testing.T) {
+	load := ordinaryLoad()
+	load.callShare, load.refuse = 0, map[mesh.Service]float64{frontService: 0.5, backService: 0.5}
+	load.balance = 400
+	p := newMeshPlay(t, 1, load)
+	p.play(30 * time.Second)
+	p.checkBudget()
+	p.logServed()
+	beyond, allowed := p.arrivals[backService].worst()
+	is.New(t).True(float64(beyond) >= 0.6*allowed) // nearly the part for refused requests
 }
 
 // oneAfterTheOther restarts hosts every half second.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -112,6 +112,9 @@
 		return
 	}
 	delete(n.gateCalls, e.Call)
+	if c.dispatched != 0 {
+		n.runs.end(s.now)
+	}
 	n.count(s, c, e)
 	switch e.Result {
 	case GateAnswered:
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -93,7 +93,7 @@
 		rollouts:     rollout.New(s.Host),
 		windows:      make(map[mesh.Service]*retry.Window),
 		routeWindows: make(map[mesh.Route]*retry.Window),
-		runs:         instanceRuns{routes: make(map[mesh.Route]*retry.Window)},
+		runs:         newInstanceRuns(now),
 		splits:       make(map[mesh.Route]*split),
 		longest:      make(map[mesh.Route]time.Duration),
 		calls:        make(map[mesh.CallID]*call),
--- a/internal/proxy/repeats.go
+++ b/internal/proxy/repeats.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"time"
-
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 )
@@ -81,7 +79,7 @@
 // countRequest counts the first attempt of a request against the budgets.
 func (n *Node) countRequest(s *step, c *call) {
 	if c.service != n.local.service { // instances don't call their own service
-		c.repeated = n.runs.repeatedShare(s.now)
+		c.repeated = n.runs.arrived(s.now, c.route.Name)
 	}
 	n.window(c.service).Request(s.now, n.settings.Repeats, c.repeated)
 	n.routeWindow(c.route.Name).Request(s.now, n.settings.Repeats, c.repeated)
@@ -104,55 +102,3 @@
 	}
 	return w
 }
-
-const (
-	// runSpan is the time over which the runs of an instance are counted. Most of
-	// the calls that arrive come from runs of that time.
-	runSpan = 2 * time.Second
-	// shareInterval is the time for which a share is used before it is worked out
-	// anew.
-	shareInterval = 100 * time.Millisecond
-	// leastRuns is the number of runs of a route from which its share is taken as it
-	// is. One repeat among a few runs says little.
-	leastRuns = 4
-)
-
-// instanceRuns counts the runs of the instance on this host and the repeats among
-// them, by route.
-type instanceRuns struct {
-	routes   map[mesh.Route]*retry.Window
-	share    float64
-	sharedAt mesh.Time
-}
-
-// begin counts a run that is a repeat with the given probability.
-func (r *instanceRuns) begin(now mesh.Time, route mesh.Route, repeated float64) {
-	w := r.routes[route]
-	if w == nil {
-		w = &retry.Window{}
-		r.routes[route] = w
-	}
-	w.Request(now, runBudget, repeated)
-}
-
-// runBudget gives the windows of runs their span.
-var runBudget = retry.WindowBudget{Span: runSpan}
-
-// repeatedShare returns the probability that a call of the instance comes from a
-// repeated run. Which of its routes make calls isn't known, so it is that of the
-// route with the most repeats.
-func (r *instanceRuns) repeatedShare(now mesh.Time) float64 {
-	if now.Sub(r.sharedAt) < shareInterval {
-		return r.share
-	}
-	r.share, r.sharedAt = 0, now
-	for route, w := range r.routes {
-		first, repeats := w.Sums(now, runBudget)
-		if first+repeats == 0 {
-			delete(r.routes, route)
-			continue
-		}
-		r.share = max(r.share, repeats/max(first+repeats, leastRuns))
-	}
-	return r.share
-}
