Remember at the entry node what gates report of crashes

The users' BUDGET also bounds the instances that one request may crash. That limit has the same weakness as the retry budget: it holds for all processes together, and an entry node forgot with the end of a call what a gate had told it of crashes. A resend at the same entry node was passed on as a clean request until the conviction came round by way of the readers.

Now the entry node takes the count of a gate into its table. A suspect runs alone at the next gate, a convicted request is rejected at once.

TestEntryNodeRemembersTheCrashesThatGatesReport failed before: the second request carried no crash.

--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -249,7 +249,10 @@
 	if e.Outcome != mesh.NotRun {
 		c.runs++
 	}
-	c.crashes = max(c.crashes, e.Crashes)
+	if e.Crashes > c.crashes {
+		c.crashes = e.Crashes
+		n.poison.Merge(s.now, []poison.Entry{{Fingerprint: c.fingerprint, Crashes: e.Crashes, At: s.now}})
+	}
 	if e.Outcome == mesh.Answered && !n.worthRepeat(s, c, e) {
 		n.respond(s, c)
 		return
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -441,3 +441,22 @@
 	is.Equal(e.Action, CallReject)
 	is.True(e.RetryAfter > 0)
 }
+
+// Guards against an entry node that passes a request on which has crashed two
+// instances, though their gates have told it.
+func TestEntryNodeRemembersTheCrashesThatGatesReport(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	again := func(id mesh.CallID) CallEffect {
+		return r.step(CallArrived{Call: id, Host: "a", Path: "/read/1", Fingerprint: 7, Budget: time.Second}).Calls[0]
+	}
+	lost := AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true, Crashes: 1}
+	r.done(again(1), lost)
+	second := again(2)
+	is.Equal(second.Action, CallForward)
+	is.Equal(second.Crashes, uint8(1)) // runs alone at the next gate
+	lost.Crashes = 2
+	r.done(second, lost)
+	is.Equal(again(3).Reason, mesh.ReasonPoison)
+	is.Equal(r.call(4, "/read/2").Action, CallForward) // another request
+}
