Play three services in a row against the retry budget

The mark of a repeat is passed on down the call tree; so far only a unit test followed it beyond one call.

--- a/internal/proxy/budget_test.go
+++ b/internal/proxy/budget_test.go
@@ -16,9 +16,9 @@
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 )
 
-// meshPlay plays two services on the reducers of many nodes in virtual time: runs
-// of the front service call the back service through the node of their host. It
-// counts, from what instances see, the arrivals that the retry budget bounds.
+// meshPlay plays services on the reducers of many nodes in virtual time: runs of the
+// front service call the back service through the node of their host, and those of
+// the back service call the deep one. It counts, from what instances see, the arrivals that the retry budget bounds.
 type meshPlay struct {
 	*testing.T
 	meshLoad
@@ -37,7 +37,7 @@
 
 // meshLoad is a deployment and its traffic.
 type meshLoad struct {
-	front, back int // hosts of each service
+	front, back, deep int // hosts of each service; deep may be zero
 	// list, book and balance are the clients' requests a second.
 	list, book, balance float64
 	// calls is the number of calls that callShare of the lists make.
@@ -75,7 +75,7 @@
 	call        mesh.CallID
 	attempt     uint8
 	gate, epoch int
-	lists       bool
+	route       mesh.Route
 	began       mesh.Time // at the instance
 }
 
@@ -91,6 +91,7 @@
 	windowTicks    = int(10 * time.Second / playTick)
 	frontService   = mesh.Service("front")
 	backService    = mesh.Service("back")
+	deepService    = mesh.Service("deep")
 	clientPatience = 1200 * time.Millisecond
 	callPatience   = 250 * time.Millisecond
 )
@@ -105,7 +106,8 @@
 		{Name: "book", Host: "a", Prefix: "/book/", Timeout: time.Second, TargetLatency: 400 * ms, Attempts: 3, Rank: 1, Destinations: to(frontService)},
 		{Name: "balance", Host: "a", Prefix: "/balance/", Idempotent: true, Timeout: 600 * ms, TargetLatency: 150 * ms, Attempts: 3, Rank: 1, Destinations: to(backService)},
 		{Name: "stock", Host: "a", Prefix: "/stock/", Idempotent: true, Timeout: 250 * ms, TargetLatency: 100 * ms, Attempts: 3, Rank: 1, Destinations: to(backService)},
-	}, []catalog.Service{{Name: frontService}, {Name: backService}}, catalog.ClientLimits{})
+		{Name: "price", Host: "a", Prefix: "/price/", Idempotent: true, Timeout: 150 * ms, TargetLatency: 50 * ms, Attempts: 3, Rank: 1, Destinations: to(deepService)},
+	}, []catalog.Service{{Name: frontService}, {Name: backService}, {Name: deepService}}, catalog.ClientLimits{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,14 +119,17 @@
 	p := &meshPlay{
 		T: t, meshLoad: load, now: start, random: rand.New(rand.NewPCG(seed, 1)),
 		requests: make(map[mesh.CallID]*meshRequest), runs: make(map[mesh.CallID]*meshRun),
-		arrivals: map[mesh.Service]*arrivalCounts{frontService: {}, backService: {}},
+		arrivals: map[mesh.Service]*arrivalCounts{frontService: {}, backService: {}, deepService: {}},
 		asked:    make(map[string]int), served: make(map[string]int),
 	}
-	for i := range load.front + load.back {
+	for i := range load.front + load.back + load.deep {
 		host := mesh.HostID(fmt.Sprintf("n%02d", i))
 		m := remote(host, mesh.InstanceID("i-"+host), 1)
 		m.Instance.Slots, m.Instance.Service = playSlots, frontService
-		if i >= load.front {
+		switch {
+		case i >= load.front+load.back:
+			m.Instance.Service = deepService
+		case i >= load.front:
 			m.Instance.Service = backService
 		}
 		p.hosts = append(p.hosts, &meshHost{member: m})
@@ -214,7 +219,7 @@
 	}
 	p.nextID++
 	id := p.nextID
-	run := &meshRun{request: r, call: e.Call, attempt: e.Attempt, gate: gate, epoch: p.hosts[gate].epoch, lists: e.Route == "list"}
+	run := &meshRun{request: r, call: e.Call, attempt: e.Attempt, gate: gate, epoch: p.hosts[gate].epoch, route: e.Route}
 	if p.hosts[gate].node == nil {
 		p.finish(run, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonConnectionLost, HostFailed: true})
 		return
@@ -253,9 +258,9 @@
 		return
 	}
 	lost := p.faulty() && p.random.Float64() < p.lose[r.service]
-	work := playWork
-	if r.service == backService {
-		work = playBackWork
+	work := playBackWork
+	if r.service == frontService {
+		work = playWork
 	}
 	p.after(time.Duration(float64(work)*(0.5+p.random.Float64())), func() { p.runCalls(e.Call, run, repeat, lost) })
 }
@@ -270,15 +275,19 @@
 		}
 		p.end(id, GateDone{Result: GateAnswered, Failed: !good}, AttemptDone{Outcome: mesh.Answered, Failed: !good, Reached: true, Bytes: 500})
 	}
-	if run.lists && p.random.Float64() < p.callShare {
+	path, service := "/stock/1", backService
+	switch {
+	case run.route == "list" && p.random.Float64() < p.callShare:
 		open = p.calls
+	case run.request.service == backService && p.deep > 0:
+		open, path, service = 1, "/price/1", deepService
 	}
 	if open == 0 {
 		end()
 		return
 	}
 	for range open {
-		p.arrive(run.gate, "/stock/1", backService, callPatience, repeat, func(served bool) {
+		p.arrive(run.gate, path, service, callPatience, repeat, func(served bool) {
 			open--
 			good = good && served
 			if open == 0 {
@@ -417,7 +426,7 @@
 func (p *meshPlay) checkBudget() {
 	p.Helper()
 	is := is.New(p.T)
-	for _, service := range []mesh.Service{frontService, backService} {
+	for _, service := range []mesh.Service{frontService, backService, deepService} {
 		beyond, allowed := p.arrivals[service].worst()
 		p.Logf("%s: %d arrivals beyond the first, %.0f allowed", service, beyond, allowed)
 		is.True(float64(beyond) <= allowed)
@@ -458,6 +467,10 @@
 			name: "few requests with many calls", refuse: map[mesh.Service]float64{frontService: 0.5, backService: 0.4},
 			change: func(l *meshLoad) { l.calls, l.callShare, l.list, l.book, l.balance = 5, 1, 8, 2, 4 },
 		},
+		{
+			name: "three services in a row", refuse: map[mesh.Service]float64{frontService: 0.4, backService: 0.4, deepService: 0.4},
+			change: func(l *meshLoad) { l.deep, l.back = 3, 4 },
+		},
 		{
 			name: "back fails most calls", refuse: map[mesh.Service]float64{backService: 0.8},
 			change: func(l *meshLoad) { l.list, l.book = 80, 300 },
