Repeat requests that come to a node too seldom to earn a repeat

On hundreds of hosts a node sees a route about once a second. The burst bound of a fifth of a window, and the part of the fixed budget for a route, were then below one repeat, so that lost downloads on the grown and large deployments would never have been repeated.

Neither a burst nor a route is refused its first repeat now while the service has room in its window. A restart can add one repeat a node.

--- a/internal/proxy/budget_test.go
+++ b/internal/proxy/budget_test.go
@@ -621,3 +621,24 @@
 	is.True(repeats > 0)
 	is.True(float64(repeats) <= 0.2*calls+60.0/hosts)
 }
+
+// Guards against requests that come to a node once a second, as on hundreds of hosts,
+// and are never repeated because no node's share of the budget reaches one.
+func TestRareRequestsAreRepeated(t *testing.T) {
+	is := is.New(t)
+	r := newRig(t).serving()
+	for i := range 200 {
+		host := mesh.HostID(fmt.Sprintf("m%d", i))
+		r.step(MembersSeen{Members: []Member{remote(host, "i-"+mesh.InstanceID(host), 1)}})
+	}
+	r.now = r.now.Add(20 * time.Second)
+	lost := AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true}
+	for id := range mesh.CallID(12) {
+		r.done(r.call(id+1, "/read/1"), AttemptDone{Outcome: mesh.Answered, Reached: true})
+		r.now = r.now.Add(time.Second)
+	}
+	first := r.done(r.call(20, "/read/1"), lost)
+	is.Equal(first.Action, CallForward)
+	r.done(first, AttemptDone{Outcome: mesh.Answered, Reached: true})
+	is.Equal(r.done(r.call(21, "/read/1"), lost).Action, CallReject) // one of ten
+}
--- a/internal/proxy/repeats.go
+++ b/internal/proxy/repeats.go
@@ -33,11 +33,6 @@
 // repeatParts are the parts of the budget by the cause of the repeat.
 var repeatParts = [repeatCauses]float64{retry.PartRefused, retry.PartLost, retry.PartFailed}
 
-// routeExtra is the part of the fixed budget that a route may use. Runs that make
-// up to six calls then cause no more repeats at another service than its own fixed
-// budget holds.
-const routeExtra = 0.25
-
 // repeat draws on the shared budget for one more attempt at an instance.
 func (n *Node) repeat(s *step, c *call, cause RepeatCause) bool {
 	// Hosts that can't be reached may go on spending their share.
@@ -45,9 +40,7 @@
 	service, route := n.window(c.service), n.routeWindow(c.route.Name)
 	// A route keeps to the budget too: the calls of its repeated runs then stay
 	// within that share of all its calls, whatever other routes its service has.
-	ofRoute := b
-	ofRoute.Extra *= routeExtra
-	allowed := service.Allows(s.now, b, part, hosts) && route.Allows(s.now, ofRoute, part, hosts)
+	allowed := service.Allows(s.now, b, part, hosts) && route.AllowsRoute(s.now, b, part, hosts)
 	kind := "call.repeated"
 	if allowed {
 		service.Repeat(s.now, b)
--- a/internal/retry/window.go
+++ b/internal/retry/window.go
@@ -15,6 +15,17 @@
 // requests, which the next process on its host knows nothing of.
 const burstBuckets = windowBuckets / 5
 
+const (
+	// routeExtra is the part of the fixed budget that a route may use. Runs that make
+	// up to six calls then cause no more repeats at another service than its own fixed
+	// budget holds.
+	routeExtra = 0.25
+	// leastRepeats is the number of repeats that neither a route nor a burst is
+	// refused while its service has room: on hundreds of hosts each sees too few
+	// requests of a route to earn one.
+	leastRepeats = 1
+)
+
 // WindowBudget bounds the repeated attempts of a service in a sliding window,
 // over all nodes of the deployment.
 type WindowBudget struct {
@@ -58,17 +69,25 @@
 	bucket.repeats += repeated
 }
 
-// Allows reports whether another attempt is within a part of the budget, given the
-// number of nodes that share it.
+// Allows reports whether another attempt is within a part of the budget of a
+// service, given the number of nodes that share it.
 func (w *Window) Allows(now mesh.Time, b WindowBudget, part float64, nodes int) bool {
 	w.bucket(now, b)
-	for _, buckets := range [...]int{burstBuckets, windowBuckets} {
-		requests, repeats := w.latest(buckets)
-		if repeats+1 > part*(b.Ratio*requests+b.Extra/float64(max(nodes, 1))) {
-			return false
-		}
-	}
-	return true
+	return w.within(windowBuckets, 0, b, part, nodes) && w.within(burstBuckets, leastRepeats, b, part, nodes)
+}
+
+// AllowsRoute reports the same for one of a service's routes.
+func (w *Window) AllowsRoute(now mesh.Time, b WindowBudget, part float64, nodes int) bool {
+	b.Extra *= routeExtra
+	w.bucket(now, b)
+	return w.within(windowBuckets, leastRepeats, b, part, nodes)
+}
+
+// within reports whether another repeat is within the budget, or the least number,
+// in the latest spans.
+func (w *Window) within(buckets int, least float64, b WindowBudget, part float64, nodes int) bool {
+	requests, repeats := w.latest(buckets)
+	return repeats+1 <= max(least, part*(b.Ratio*requests+b.Extra/float64(max(nodes, 1))))
 }
 
 // Repeat counts another attempt.
