Name the spans of the counts by origin

Reading as a newcomer: a field named now beside a parameter named now, and a time whose meaning its name did not say.

--- a/internal/proxy/runs.go
+++ b/internal/proxy/runs.go
@@ -29,14 +29,15 @@
 // request that arrives here is a call of a repeated run. Clients and the instance
 // use the same address, and a call names no run.
 type instanceRuns struct {
-	routes     map[mesh.Route]*retry.Window // runs and the repeats among them
+	routes map[mesh.Route]*retry.Window // runs and the repeats among them
+	// share is the result of repeatedShare at sharedAt.
 	share      float64
 	sharedAt   mesh.Time
 	inProgress int
+	observedAt mesh.Time // the time up to which inProgress is accounted for
 
-	// now and before count by origin in the present span and the one before it.
-	now, before originCounts
-	changedAt   mesh.Time // of inProgress
+	// Requests by origin in the present span and the one before it.
+	present, previous originCounts
 }
 
 // originCounts tell the requests of clients from calls of the instance: no call
@@ -53,7 +54,7 @@
 var runBudget = retry.WindowBudget{Span: runSpan}
 
 func newInstanceRuns(now mesh.Time) instanceRuns {
-	return instanceRuns{routes: make(map[mesh.Route]*retry.Window), now: newOriginCounts(now), before: newOriginCounts(now), changedAt: now}
+	return instanceRuns{routes: make(map[mesh.Route]*retry.Window), present: newOriginCounts(now), previous: newOriginCounts(now), observedAt: now}
 }
 
 func newOriginCounts(now mesh.Time) originCounts {
@@ -82,9 +83,9 @@
 // repeated run.
 func (r *instanceRuns) arrived(now mesh.Time, route mesh.Route) float64 {
 	r.observe(now)
-	r.now.arrivals[route]++
+	r.present.arrivals[route]++
 	if r.inProgress == 0 {
-		r.now.idleArrivals[route]++
+		r.present.idleArrivals[route]++
 		return 0
 	}
 	return r.repeatedShare(now) * r.callShare(now, route)
@@ -93,11 +94,11 @@
 // observe accounts for the time since the last event.
 func (r *instanceRuns) observe(now mesh.Time) {
 	if r.inProgress == 0 {
-		r.now.idle += now.Sub(r.changedAt)
+		r.present.idle += now.Sub(r.observedAt)
 	}
-	r.changedAt = now
-	if now.Sub(r.now.began) >= originSpan {
-		r.before, r.now = r.now, newOriginCounts(now)
+	r.observedAt = now
+	if now.Sub(r.present.began) >= originSpan {
+		r.previous, r.present = r.present, newOriginCounts(now)
 	}
 }
 
@@ -123,10 +124,10 @@
 // callShare returns the share of calls among the requests of a route: what arrives
 // beyond the rate of its clients, which is that of the time without runs.
 func (r *instanceRuns) callShare(now mesh.Time, route mesh.Route) float64 {
-	arrivals := r.now.arrivals[route] + r.before.arrivals[route]
-	idleArrivals := r.now.idleArrivals[route] + r.before.idleArrivals[route]
-	idle := max(r.now.idle+r.before.idle, leastIdle)
+	arrivals := r.present.arrivals[route] + r.previous.arrivals[route]
+	idleArrivals := r.present.idleArrivals[route] + r.previous.idleArrivals[route]
+	idle := max(r.present.idle+r.previous.idle, leastIdle)
 	clients := float64(idleArrivals) / idle.Seconds()
-	all := float64(arrivals) / max(now.Sub(r.before.began), leastIdle).Seconds()
+	all := float64(arrivals) / max(now.Sub(r.previous.began), leastIdle).Seconds()
 	return max(0, 1-clients/all)
 }
