--- a/internal/proxy/repeats.go
+++ b/internal/proxy/repeats.go
@@ -37,7 +37,7 @@
 func (n *Node) repeat(s *step, c *call, cause RepeatCause) bool {
 	// Hosts that can't be reached may go on spending their share.
 	b, part, hosts := n.repeatBudget(s.now), repeatParts[cause], len(n.members)
-	service, route := n.window(c.service), n.routeWindow(c.route.Name)
+	service, route := windowOf(n.windows, c.service), windowOf(n.routeWindows, c.route.Name)
 	// A route keeps to the budget too: the calls of its repeated runs then stay
 	// within that share of all its calls, whatever other routes its service has.
 	allowed := service.Allows(s.now, b, part, hosts) && route.AllowsRoute(s.now, b, part, hosts)
@@ -74,24 +74,16 @@
 	if c.service != n.local.service { // instances don't call their own service
 		c.repeated = n.runs.arrived(s.now, c.route.Name)
 	}
-	n.window(c.service).Request(s.now, n.settings.Repeats, c.repeated)
-	n.routeWindow(c.route.Name).Request(s.now, n.settings.Repeats, c.repeated)
+	windowOf(n.windows, c.service).Request(s.now, n.settings.Repeats, c.repeated)
+	windowOf(n.routeWindows, c.route.Name).Request(s.now, n.settings.Repeats, c.repeated)
 }
 
-func (n *Node) window(service mesh.Service) *retry.Window {
-	w := n.windows[service]
+// windowOf returns the window of a service or route, which begins with its first use.
+func windowOf[K comparable](windows map[K]*retry.Window, key K) *retry.Window {
+	w := windows[key]
 	if w == nil {
 		w = &retry.Window{}
-		n.windows[service] = w
-	}
-	return w
-}
-
-func (n *Node) routeWindow(route mesh.Route) *retry.Window {
-	w := n.routeWindows[route]
-	if w == nil {
-		w = &retry.Window{}
-		n.routeWindows[route] = w
+		windows[key] = w
 	}
 	return w
 }
--- a/internal/proxy/runs.go
+++ b/internal/proxy/runs.go
@@ -63,12 +63,7 @@
 
 // begin counts a run that is a repeat with the given probability.
 func (r *instanceRuns) begin(now mesh.Time, route mesh.Route, repeated float64) {
-	w := r.routes[route]
-	if w == nil {
-		w = &retry.Window{}
-		r.routes[route] = w
-	}
-	w.Request(now, runBudget, repeated)
+	windowOf(r.routes, route).Request(now, runBudget, repeated)
 	r.observe(now)
 	r.inProgress++
 }
