Show that two crashes of instances block a busy path on all nodes

Two instances of a service crash 0.3 s apart and come back. The path that most of its clients send is convicted of the crashes, and all nodes answer it with 502: CONFIG, as its route was added later.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,7 +3,7 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/chicory-sidecar ] && [ -x target/review-stand ] || exit 2
-timeout 110 target/review-stand rollout "$folder"
+timeout 110 target/review-stand convict "$folder"
 code=$?
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"os"
 	"os/signal"
 	"path/filepath"
@@ -19,6 +20,7 @@
 	"leave":   caseLeave,
 	"rollout": caseRollout,
 	"config":  caseConfig,
+	"convict": caseConvict,
 	"crashes": caseCrashes,
 }
 
@@ -77,3 +79,16 @@
 		}
 	}
 }
+
+// atRandom calls f in its own goroutine at random times, at a mean rate per second, until
+// stop is closed.
+func atRandom(perS float64, stop <-chan struct{}, f func(k int)) {
+	for k := 0; ; k++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(rand.ExpFloat64() / perS * float64(time.Second))):
+			go f(k)
+		}
+	}
+}
