Let a success outweigh every older suspicion of a crash

Cause: a suspicion was a bare count of crashes. Entry nodes kept it and sent it with each request, and the gate charged the next crash on top of the larger of its own count and the header's, although the path had succeeded there meanwhile. A suspect runs alone, so that crash convicted it. Mended with it: entry nodes stamped a suspicion with the time at which they heard of it, and a gate without a record ignored the success.

A suspicion now holds how often the request was cleared, then the crashes since. The former decides first, so what is older than a clearance counts nowhere, by whatever way it comes; clocks no longer decide. A run that began as a suspect and was answered also lifts a conviction that followed meanwhile: a request that crashes instances crashes each one that begins to run it.

--- a/internal/callsim/poison_test.go
+++ b/internal/callsim/poison_test.go
@@ -42,7 +42,7 @@
 type poisonCall struct {
 	id          mesh.CallID
 	fingerprint mesh.Fingerprint
-	crashes     uint8
+	suspicion   poison.Suspicion
 }
 
 // poisonModel runs callers that resend requests to random hosts.
@@ -108,12 +108,12 @@
 }
 
 func (m *poisonModel) sendOne(h *poisonHost, f mesh.Fingerprint, crashHeader uint8) {
-	check := h.table.Check(m.now, f, crashHeader)
+	check := h.table.Check(m.now, f, poison.Suspicion{Crashes: crashHeader})
 	if check.Verdict == poison.Convicted {
 		return
 	}
 	m.nextID++
-	m.calls[m.nextID] = poisonCall{m.nextID, f, check.Crashes}
+	m.calls[m.nextID] = poisonCall{m.nextID, f, check.Suspicion}
 	m.apply(h, h.gate.Arrive(m.now, admission.Call{ID: m.nextID, Instance: "i", Fingerprint: f,
 		Deadline: m.now.Add(time.Hour), Exclusive: check.Verdict == poison.Suspect}, nil))
 }
@@ -134,7 +134,7 @@
 		return
 	}
 	h.running = slices.Delete(h.running, i, i+1)
-	h.table.RecordSuccess(m.now, c.fingerprint)
+	h.table.RecordSuccess(m.now, c.fingerprint, c.suspicion)
 	m.crashHeaders[c.fingerprint] = 0
 	m.apply(h, h.gate.Done(m.now, c.id, admission.Finished, nil))
 }
@@ -157,7 +157,7 @@
 		return
 	}
 	inFlight, effects := h.gate.Crashed(m.now, c.id, nil, nil)
-	h.table.RecordCrash(m.now, inFlight, c.crashes)
+	h.table.RecordCrash(m.now, inFlight, c.suspicion)
 	m.crashHeaders[c.fingerprint] = poison.CountAfterCrash(m.crashHeaders[c.fingerprint])
 	m.apply(h, effects)
 }
@@ -207,19 +207,19 @@
 	h := &m.hosts[0]
 	crashes := 0
 	for range 5 {
-		check := h.table.Check(m.now, 1, 0)
+		check := h.table.Check(m.now, 1, poison.Suspicion{})
 		if check.Verdict == poison.Convicted {
 			break
 		}
 		for f := mesh.Fingerprint(1); f <= 3; f++ {
 			m.nextID++
-			m.calls[m.nextID] = poisonCall{m.nextID, f, 0}
-			c := h.table.Check(m.now, f, 0)
+			m.calls[m.nextID] = poisonCall{m.nextID, f, poison.Suspicion{}}
+			c := h.table.Check(m.now, f, poison.Suspicion{})
 			m.apply(h, h.gate.Arrive(m.now, admission.Call{ID: m.nextID, Instance: "i", Fingerprint: f,
 				Deadline: m.now.Add(time.Hour), Exclusive: c.Verdict == poison.Suspect}, nil))
 		}
 		inFlight, _ := h.gate.Crashed(m.now, h.running[0].id, nil, nil)
-		h.table.RecordCrash(m.now, inFlight, 0)
+		h.table.RecordCrash(m.now, inFlight, poison.Suspicion{})
 		crashes++
 		for _, c := range h.running[1:] {
 			h.gate.Done(m.now, c.id, admission.Lost, nil)
@@ -229,5 +229,5 @@
 		m.announce(h)
 	}
 	is.Equal(crashes, 2)
-	is.Equal(h.table.Check(m.now, 2, 0).Verdict, poison.Suspect)
+	is.Equal(h.table.Check(m.now, 2, poison.Suspicion{}).Verdict, poison.Suspect)
 }
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -16,14 +16,14 @@
 type gateCall struct {
 	instance    mesh.InstanceID
 	fingerprint mesh.Fingerprint
-	crashes     uint8
+	suspicion   poison.Suspicion // known when the call arrived
 }
 
 // gateArrived admits, queues or rejects a forwarded call.
 func (n *Node) gateArrived(ev *Event, out *Ready) {
 	in := &ev.Gate
 	n.counters.GateCalls++
-	check := n.poison.Check(ev.Now, in.Fingerprint, in.Crashes)
+	check := n.poison.Check(ev.Now, in.Fingerprint, poison.Suspicion{Crashes: in.Crashes})
 	if check.Verdict == poison.Convicted {
 		n.counters.GateRejected++
 		out.Gates = append(out.Gates, GateEffect{
@@ -31,7 +31,7 @@
 		})
 		return
 	}
-	n.gateCalls[in.Call] = gateCall{instance: in.Instance, fingerprint: in.Fingerprint, crashes: check.Crashes}
+	n.gateCalls[in.Call] = gateCall{instance: in.Instance, fingerprint: in.Fingerprint, suspicion: check.Suspicion}
 	n.scratch.gate = n.gate.Arrive(ev.Now, admission.Call{
 		ID: in.Call, Instance: in.Instance, Priority: in.Priority,
 		Deadline:    ev.Now.Add(time.Duration(in.DeadlineMillis) * time.Millisecond),
@@ -53,7 +53,7 @@
 	delete(n.gateCalls, in.Call)
 	switch in.Result {
 	case GateAnswered:
-		n.poison.RecordSuccess(ev.Now, c.fingerprint)
+		n.poison.RecordSuccess(ev.Now, c.fingerprint, c.suspicion)
 		n.scratch.gate = n.gate.Done(ev.Now, in.Call, admission.Finished, n.scratch.gate)
 	case GateLost:
 		n.gateConnectionLost(ev, c, out)
@@ -74,10 +74,10 @@
 	n.scratch.crashSuspects, n.scratch.gate = n.gate.Crashed(ev.Now, ev.GateDone.Call, n.scratch.crashSuspects[:0], n.scratch.gate)
 	if len(n.scratch.crashSuspects) > 0 {
 		n.counters.Crashes++
-		n.poison.RecordCrash(ev.Now, n.scratch.crashSuspects, c.crashes)
+		n.poison.RecordCrash(ev.Now, n.scratch.crashSuspects, c.suspicion)
 	}
 	out.Gates = append(out.Gates, GateEffect{
-		Call: ev.GateDone.Call, Action: GateCrashReport, Crashes: n.poison.Check(ev.Now, c.fingerprint, 0).Crashes,
+		Call: ev.GateDone.Call, Action: GateCrashReport, Crashes: n.poison.Check(ev.Now, c.fingerprint, poison.Suspicion{}).Suspicion.Crashes,
 	})
 }
 
--- a/internal/core/poison.go
+++ b/internal/core/poison.go
@@ -9,11 +9,13 @@
 )
 
 // aggregatePoison is the kind of the distribution aggregate that carries the
-// suspects, the requests charged with crashes, to all nodes.
-const aggregatePoison distribution.AggregateKind = 1
+// suspects, the requests charged with crashes, to all nodes. Kind 1 carried entries
+// without the number of clearances; nodes ignore kinds that they do not know.
+const aggregatePoison distribution.AggregateKind = 2
 
-// entryBytes is the encoded size of a suspect: fingerprint, crash count, time.
-const entryBytes = 8 + 1 + 8
+// entryBytes is the encoded size of a suspect: fingerprint, crash count, number of times
+// that it was cleared, time.
+const entryBytes = 8 + 1 + 4 + 8
 
 // sharePoison exchanges suspects with the other nodes through the distribution
 // tree. The table changes rarely, so nothing is sent in steady state.
@@ -36,6 +38,7 @@
 	for _, e := range entries {
 		out = binary.BigEndian.AppendUint64(out, uint64(e.Fingerprint))
 		out = append(out, e.Crashes)
+		out = binary.BigEndian.AppendUint32(out, e.Cleared)
 		out = binary.BigEndian.AppendUint64(out, uint64(e.At))
 	}
 	return out
@@ -49,7 +52,8 @@
 		entries = append(entries, poison.Entry{
 			Fingerprint: mesh.Fingerprint(binary.BigEndian.Uint64(b)),
 			Crashes:     b[8],
-			At:          mesh.Time(binary.BigEndian.Uint64(b[9:])),
+			Cleared:     binary.BigEndian.Uint32(b[9:]),
+			At:          mesh.Time(binary.BigEndian.Uint64(b[13:])),
 		})
 		b = b[entryBytes:]
 	}
--- a/internal/poison/poison.go
+++ b/internal/poison/poison.go
@@ -16,20 +16,22 @@
 // that the caller can send the table to peers only then.
 func (t *Table) Version() uint64 { return t.version }
 
-// Check returns the verdict on a request before it runs. headerCrashes is the crash
-// count in the call's header, which carries over from earlier attempts.
-func (t *Table) Check(now mesh.Time, f mesh.Fingerprint, headerCrashes uint8) Check {
-	crashes := min(headerCrashes, ConvictionCrashes)
-	if i := t.find(f); i >= 0 && !expired(t.entries[i], now) {
-		crashes = max(crashes, t.entries[i].Crashes)
+// Check returns the verdict on a request before it runs. header is the suspicion in the
+// call's header, which carries over from earlier attempts.
+func (t *Table) Check(now mesh.Time, f mesh.Fingerprint, header Suspicion) Check {
+	suspicion := header
+	suspicion.Crashes = min(suspicion.Crashes, ConvictionCrashes)
+	if i := t.find(f); i >= 0 && !expired(t.entries[i], now) && t.entries[i].suspicion().Supersedes(suspicion) {
+		suspicion = t.entries[i].suspicion()
 	}
+	verdict := Clean
 	switch {
-	case crashes >= ConvictionCrashes:
-		return Check{Verdict: Convicted, Crashes: crashes}
-	case crashes > 0:
-		return Check{Verdict: Suspect, Crashes: crashes}
+	case suspicion.Crashes >= ConvictionCrashes:
+		verdict = Convicted
+	case suspicion.Crashes > 0:
+		verdict = Suspect
 	}
-	return Check{}
+	return Check{Verdict: verdict, Suspicion: suspicion}
 }
 
 // CountAfterCrash returns the crash count to send with a retry after an attempt that
@@ -40,33 +42,37 @@
 // RecordCrash records that an instance crashed with the given requests in flight.
 // With several distinct requests in flight the cause is unknown, so the crash
 // makes each one a suspect but never raises a count above one. A request that
-// was alone in the instance is charged with the crash, on top of the count that its
+// was alone in the instance is charged with the crash, on top of the suspicion that its
 // header carried. RecordCrash reports whether this convicted the request.
-func (t *Table) RecordCrash(now mesh.Time, inFlight []mesh.Fingerprint, headerCrashes uint8) (convicted bool) {
+func (t *Table) RecordCrash(now mesh.Time, inFlight []mesh.Fingerprint, header Suspicion) (convicted bool) {
 	if len(inFlight) == 0 {
 		return false
 	}
 	if singleRequest(inFlight) {
-		crashes := min(t.Check(now, inFlight[0], headerCrashes).Crashes+1, ConvictionCrashes)
-		t.put(now, Entry{inFlight[0], crashes, now})
-		return crashes == ConvictionCrashes
+		suspicion := t.Check(now, inFlight[0], header).Suspicion
+		suspicion.Crashes = min(suspicion.Crashes+1, ConvictionCrashes)
+		t.put(now, newEntry(inFlight[0], suspicion, now))
+		return suspicion.Crashes == ConvictionCrashes
 	}
 	for _, f := range inFlight {
-		t.put(now, Entry{f, max(1, t.Check(now, f, 0).Crashes), now})
+		suspicion := t.Check(now, f, Suspicion{}).Suspicion
+		suspicion.Crashes = max(1, suspicion.Crashes)
+		t.put(now, newEntry(f, suspicion, now))
 	}
 	return false
 }
 
-// RecordSuccess records that a request has run without a crash, which clears a suspect. It
-// does not lift a conviction.
-func (t *Table) RecordSuccess(now mesh.Time, f mesh.Fingerprint) {
-	i := t.find(f)
-	if i < 0 || t.entries[i].Crashes != 1 {
-		return
+// RecordSuccess records that a run of a request has ended without a crash. known is the
+// suspicion of which the gate knew when the run began. The run clears the request of the
+// crashes in it, and of a conviction that followed meanwhile. A run that began before the
+// crashes clears nothing. RecordSuccess reports whether the run cleared the request.
+func (t *Table) RecordSuccess(now mesh.Time, f mesh.Fingerprint, known Suspicion) (cleared bool) {
+	after := Suspicion{Cleared: known.Cleared + 1}
+	if known.Crashes == 0 || !after.Supersedes(t.Check(now, f, Suspicion{}).Suspicion) {
+		return false
 	}
-	t.entries[i].Crashes = 0
-	t.entries[i].At = now
-	t.version++
+	t.put(now, newEntry(f, after, now))
+	return true
 }
 
 // Merge adds the entries of a peer to the table. It reports whether the table changed.
@@ -147,13 +153,13 @@
 
 func expired(e Entry, now mesh.Time) bool { return now.Sub(e.At) >= Lifetime }
 
-// newer reports whether e replaces old. A conviction replaces a suspicion and
-// is never replaced by one. Otherwise the later entry wins.
+// newer reports whether e replaces old. Of two entries with the same suspicion, the later
+// one wins.
 func newer(e, old Entry) bool {
-	if (e.Crashes == ConvictionCrashes) != (old.Crashes == ConvictionCrashes) {
-		return e.Crashes == ConvictionCrashes
+	if e.suspicion() == old.suspicion() {
+		return e.At > old.At
 	}
-	return e.At > old.At || e.At == old.At && e.Crashes > old.Crashes
+	return e.suspicion().Supersedes(old.suspicion())
 }
 
 // compareValue orders entries by how little is lost if they are evicted: expired
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -57,7 +57,7 @@
 	deadline    mesh.Time
 	targetAt    mesh.Time // time of the route's latency target
 	fingerprint mesh.Fingerprint
-	crashes     uint8
+	suspicion   poison.Suspicion // of crashes that the request caused
 
 	attempt     uint8 // number of the attempt in flight or of the last one
 	inFlight    bool
@@ -145,10 +145,10 @@
 		n.rejectNew(s, e.Call, mesh.ReasonDraining, s.jitter(noTargetRetryAfter))
 		return
 	}
-	check := n.poison.Check(s.now, e.Fingerprint, 0)
+	check := n.poison.Check(s.now, e.Fingerprint, poison.Suspicion{})
 	if check.Verdict == poison.Convicted {
 		// This call is not sent, but the request has already run as part of other calls.
-		s.log("call.blocked", "call", uint64(e.Call), "crashes", check.Crashes)
+		s.log("call.blocked", "call", uint64(e.Call), "crashes", check.Suspicion.Crashes, "cleared", check.Suspicion.Cleared)
 		n.counters.MayHaveRun++
 		s.out.Calls = append(s.out.Calls, CallEffect{
 			Call: e.Call, Action: CallReject, Outcome: mesh.MayHaveRun, Reason: mesh.ReasonPoison,
@@ -157,7 +157,7 @@
 	}
 	c := &call{
 		id: e.Call, route: route, service: n.destination(s, route), arrived: s.now,
-		fingerprint: e.Fingerprint, crashes: check.Crashes,
+		fingerprint: e.Fingerprint, suspicion: check.Suspicion,
 	}
 	c.probeLimit = n.table.ProbeCount(s.now, s.random.Next(), c.service, probesBeforeQueue)
 	c.deadline = s.now.Add(limit)
@@ -229,7 +229,7 @@
 	effect := CallEffect{
 		Call: c.id, Action: CallForward, Attempt: c.attempt, Host: m.Host, Addr: m.ForwardAddr,
 		Instance: choice.ID, Route: c.route.Name, Rank: c.route.Rank, Idempotent: c.route.Idempotent,
-		Deadline: c.deadline, TimeToTarget: c.targetAt.Sub(s.now), MayQueue: mayQueue, Crashes: c.crashes,
+		Deadline: c.deadline, TimeToTarget: c.targetAt.Sub(s.now), MayQueue: mayQueue, Suspicion: c.suspicion,
 		RepeatProbability: c.repeatProbability,
 	}
 	if m.Host == n.settings.Host {
@@ -269,9 +269,9 @@
 	if e.Outcome != mesh.NotRun {
 		c.possibleRuns++
 	}
-	if e.Crashes > c.crashes {
-		c.crashes = e.Crashes
-		n.poison.Merge(s.now, []poison.Entry{{Fingerprint: c.fingerprint, Crashes: e.Crashes, At: s.now}})
+	if e.Suspicion.Supersedes(c.suspicion) {
+		c.suspicion = e.Suspicion
+		n.poison.Merge(s.now, []poison.Entry{{Fingerprint: c.fingerprint, Crashes: e.Suspicion.Crashes, Cleared: e.Suspicion.Cleared, At: s.now}})
 	}
 	if e.Outcome == mesh.Answered && !n.tryRepeatFailedAnswer(s, c, e) {
 		n.respond(s, c)
@@ -318,7 +318,7 @@
 		n.endWithoutAnswer(s, c, e.Reason)
 		return
 	}
-	if c.crashes >= poison.ConvictionCrashes {
+	if c.suspicion.Crashes >= poison.ConvictionCrashes {
 		c.possibleRuns = max(c.possibleRuns, 1) // the request has already run as part of other calls
 		n.endWithoutAnswer(s, c, mesh.ReasonPoison)
 		return
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
 )
 
@@ -38,8 +39,8 @@
 	Reached bool
 	// HostFailed is set when the host itself did not respond.
 	HostFailed bool
-	// Crashes is the number of instance crashes that the gate attributes to the request.
-	Crashes uint8
+	// Suspicion is how far the gate suspects the request of crashing instances.
+	Suspicion poison.Suspicion
 	// Duration is the time that the attempt took without its wait for a slot. It
 	// includes the network, so that it reveals a slow host as well as a slow instance.
 	// Bytes is the size of the answer.
@@ -69,7 +70,7 @@
 	// MayQueue allows the request to wait in the gate's queue for a slot.
 	MayQueue    bool
 	Fingerprint mesh.Fingerprint
-	Crashes     uint8
+	Suspicion   poison.Suspicion
 	// RepeatProbability is CallEffect.RepeatProbability of the forwarded attempt.
 	RepeatProbability float64
 }
@@ -244,7 +245,7 @@
 	Deadline     mesh.Time
 	TimeToTarget time.Duration
 	MayQueue     bool
-	Crashes      uint8
+	Suspicion    poison.Suspicion
 	// RepeatProbability is the probability that the attempt, if it arrives at an instance,
 	// is a repeat. It is 1 if an earlier attempt has or may have reached an instance.
 	// Otherwise it is the probability that the request is a call made by a repeated run.
@@ -270,13 +271,13 @@
 
 // GateEffect is an effect on a request at the gate.
 type GateEffect struct {
-	Call     mesh.CallID
-	Action   GateAction
-	Reason   mesh.Reason
-	Instance mesh.InstanceID
-	Deadline mesh.Time
-	Load     mesh.Load
-	Crashes  uint8
+	Call      mesh.CallID
+	Action    GateAction
+	Reason    mesh.Reason
+	Instance  mesh.InstanceID
+	Deadline  mesh.Time
+	Load      mesh.Load
+	Suspicion poison.Suspicion
 }
 
 // PeerCheck requests an exchange with a peer, to find out whether it is alive.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -26,7 +26,7 @@
 	instance          mesh.InstanceID
 	route             mesh.Route
 	fingerprint       mesh.Fingerprint
-	crashes           uint8
+	suspicion         poison.Suspicion // known when the request arrived
 	repeatProbability float64
 	dispatchedAt      mesh.Time
 }
@@ -57,9 +57,9 @@
 
 func (e GateArrived) apply(n *Node, s *step) {
 	n.counters.GateCalls++
-	check := n.poison.Check(s.now, e.Fingerprint, e.Crashes)
+	check := n.poison.Check(s.now, e.Fingerprint, e.Suspicion)
 	if check.Verdict == poison.Convicted {
-		n.rejectAtGate(s, e.Call, mesh.ReasonPoison, check.Crashes)
+		n.rejectAtGate(s, e.Call, mesh.ReasonPoison, check.Suspicion)
 		return
 	}
 	reason := n.gateClosedReason(e.Instance)
@@ -67,15 +67,15 @@
 		reason = mesh.ReasonDraining // could not be answered before the process ends
 	}
 	if reason != mesh.ReasonNone {
-		n.rejectAtGate(s, e.Call, reason, 0)
+		n.rejectAtGate(s, e.Call, reason, poison.Suspicion{})
 		return
 	}
 	load := n.gate.Load(n.local.id)
 	if !e.MayQueue && load.InUse >= load.Slots {
-		n.rejectAtGate(s, e.Call, mesh.ReasonOverload, 0)
+		n.rejectAtGate(s, e.Call, mesh.ReasonOverload, poison.Suspicion{})
 		return
 	}
-	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, crashes: check.Crashes, repeatProbability: e.RepeatProbability}
+	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, suspicion: check.Suspicion, repeatProbability: e.RepeatProbability}
 	n.gateEffects = n.gate.Arrive(s.now, admission.Call{
 		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank),
 		Deadline: s.now.Add(e.TimeLeft), Target: s.now.Add(e.TimeToTarget),
@@ -102,10 +102,10 @@
 	return mesh.ReasonNone
 }
 
-func (n *Node) rejectAtGate(s *step, id mesh.CallID, reason mesh.Reason, crashes uint8) {
+func (n *Node) rejectAtGate(s *step, id mesh.CallID, reason mesh.Reason, suspicion poison.Suspicion) {
 	n.counters.GateRejected++
 	s.out.Gates = append(s.out.Gates, GateEffect{
-		Call: id, Action: GateReject, Reason: reason, Load: n.gate.Load(n.local.id), Crashes: crashes,
+		Call: id, Action: GateReject, Reason: reason, Load: n.gate.Load(n.local.id), Suspicion: suspicion,
 	})
 }
 
@@ -121,7 +121,9 @@
 	n.countEvidence(s, c, e)
 	switch e.Result {
 	case GateAnswered:
-		n.poison.RecordSuccess(s.now, c.fingerprint)
+		if n.poison.RecordSuccess(s.now, c.fingerprint, c.suspicion) {
+			s.log("request.cleared", "fingerprint", uint64(c.fingerprint), "instance", string(c.instance))
+		}
 		n.gateEffects = n.gate.Done(s.now, e.Call, admission.Finished, n.gateEffects)
 	case GateLost:
 		if !e.Down {
@@ -130,7 +132,10 @@
 		}
 		var inFlight []mesh.Fingerprint
 		inFlight, n.gateEffects = n.gate.Crashed(s.now, e.Call, nil, n.gateEffects)
-		n.poison.RecordCrash(s.now, inFlight, c.crashes)
+		if convicted := n.poison.RecordCrash(s.now, inFlight, c.suspicion); len(inFlight) > 0 {
+			s.log("instance.crash_charged", "instance", string(c.instance), "fingerprint", uint64(c.fingerprint), "in_flight", len(inFlight),
+				"known_crashes", c.suspicion.Crashes, "cleared", c.suspicion.Cleared, "convicted", convicted)
+		}
 		n.markInstanceDown(s, c.instance, "connection lost")
 	case GateMisdirected:
 		n.gateEffects = n.gate.Done(s.now, e.Call, admission.NotStarted, n.gateEffects)
@@ -157,9 +162,9 @@
 // LocalLoad returns the load of the instance on this host.
 func (n *Node) LocalLoad() mesh.Load { return n.gate.Load(n.local.id) }
 
-// CrashCount returns the number of instance crashes that are attributed to a request.
-func (n *Node) CrashCount(now mesh.Time, f mesh.Fingerprint) uint8 {
-	return n.poison.Check(now, f, 0).Crashes
+// Suspicion returns how far a request is suspected of crashing instances.
+func (n *Node) Suspicion(now mesh.Time, f mesh.Fingerprint) poison.Suspicion {
+	return n.poison.Check(now, f, poison.Suspicion{}).Suspicion
 }
 
 func (e GateCancelled) apply(n *Node, s *step) {
--- a/internal/proxy/meshsim_test.go
+++ b/internal/proxy/meshsim_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 )
 
@@ -34,6 +35,7 @@
 	arrivals        map[mesh.Service]*arrivalCounts
 	clientRequests  map[string]int // requests of clients during the fault, by path
 	clientSuccesses map[string]int
+	instanceCrashes []mesh.Time
 }
 
 // meshWorkload describes a deployment, its traffic and its faults.
@@ -52,6 +54,13 @@
 	faultStart, faultEnd time.Duration
 	// restarts lists the hosts whose nodes are killed, by the time after the start.
 	restarts map[time.Duration][]int
+	// crashes lists the hosts whose instances crash for a reason of their own, by the time
+	// after the start.
+	crashes map[time.Duration][]int
+	// identical lists the paths whose requests all have the fingerprint given here.
+	// Requests with the fingerprint crashing crash each instance that runs them.
+	identical map[string]mesh.Fingerprint
+	crashing  mesh.Fingerprint
 }
 
 // meshHost is a host with its node, which is nil while it is down.
@@ -59,12 +68,16 @@
 	member Member
 	node   *Node
 	epoch  int // incremented when a process starts or ends
+	// instanceDown is set while the instance is down after a crash. born counts its starts.
+	instanceDown bool
+	born         int64
 }
 
 // meshRequest is a request of a client, or a call of an instance, at its entry node.
 type meshRequest struct {
 	entry, epoch int
 	service      mesh.Service
+	fingerprint  mesh.Fingerprint
 	arrivals     int
 	// fromRepeat is set for a call of a run that is itself a repeat.
 	fromRepeat bool
@@ -79,6 +92,7 @@
 	attempt     uint8
 	gate, epoch int
 	route       mesh.Route
+	suspicion   poison.Suspicion
 	startedAt   mesh.Time // start at the instance
 }
 
@@ -92,6 +106,7 @@
 	frontWork         = 90 * time.Millisecond
 	backWork          = 25 * time.Millisecond
 	restartDelay      = 500 * time.Millisecond
+	instanceDowntime  = 2 * time.Second
 	slotsPerInstance  = 6
 	windowIntervals   = int(10 * time.Second / countInterval)
 	frontService      = mesh.Service("front")
@@ -99,6 +114,9 @@
 	deepService       = mesh.Service("deep")
 	clientTimeout     = 1200 * time.Millisecond
 	nestedCallTimeout = 250 * time.Millisecond
+
+	crashNoticeDelay       = 20 * time.Millisecond
+	poisonExchangeInterval = 500 * time.Millisecond
 )
 
 var simulationBudget = retry.WindowBudget{Ratio: 0.2, Extra: 64, Span: 10 * time.Second}
@@ -182,6 +200,43 @@
 	sim.after(restartDelay, func() { sim.startNode(i) })
 }
 
+// crashInstance ends the instance of a host with all its runs, and starts the next one
+// after instanceDowntime. All nodes get a notice of the crash.
+func (sim *meshSimulation) crashInstance(i int) {
+	h := sim.hosts[i]
+	if h.instanceDown {
+		return
+	}
+	h.instanceDown = true
+	h.born++
+	sim.instanceCrashes = append(sim.instanceCrashes, sim.now)
+	for _, id := range slices.Sorted(maps.Keys(sim.runs)) {
+		if run := sim.runs[id]; run != nil && run.gate == i && run.startedAt != 0 {
+			sim.endRun(id, GateDone{Result: GateLost, Down: true}, AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true})
+		}
+	}
+	sim.after(crashNoticeDelay, func() {
+		entries := h.node.PoisonEntries(sim.now)
+		for j := range sim.hosts {
+			sim.step(j, PoisonSeen{entries})
+		}
+	})
+	sim.after(instanceDowntime, func() {
+		h.instanceDown = false
+		sim.step(i, InstanceReported{ID: h.member.Instance.ID, Service: h.member.Instance.Service, Version: "v1", Slots: slotsPerInstance, Sequence: 1, Born: h.born})
+	})
+}
+
+// exchangePoison lets each node hear from a random other one which requests are suspected.
+func (sim *meshSimulation) exchangePoison() {
+	for i := range sim.hosts {
+		if peer := sim.hosts[sim.random.IntN(len(sim.hosts))].node; peer != nil {
+			sim.step(i, PoisonSeen{peer.PoisonEntries(sim.now)})
+		}
+	}
+	sim.after(poisonExchangeInterval, sim.exchangePoison)
+}
+
 func (sim *meshSimulation) after(d time.Duration, run func()) {
 	heap.Push(&sim.queue, event{sim.now.Add(d), run})
 }
@@ -225,7 +280,7 @@
 	}
 	sim.nextID++
 	id := sim.nextID
-	run := &meshRun{request: r, call: e.Call, attempt: e.Attempt, gate: gate, epoch: sim.hosts[gate].epoch, route: e.Route}
+	run := &meshRun{request: r, call: e.Call, attempt: e.Attempt, gate: gate, epoch: sim.hosts[gate].epoch, route: e.Route, suspicion: e.Suspicion}
 	if sim.hosts[gate].node == nil {
 		sim.deliverResult(run, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonConnectionLost, HostFailed: true})
 		return
@@ -238,6 +293,7 @@
 		sim.step(gate, GateArrived{
 			Call: id, Instance: e.Instance, Route: e.Route, Rank: e.Rank, TimeLeft: e.Deadline.Sub(sim.now),
 			TimeToTarget: e.TimeToTarget - hopDelay, MayQueue: e.MayQueue, RepeatProbability: e.RepeatProbability,
+			Fingerprint: r.fingerprint, Suspicion: e.Suspicion,
 		})
 	})
 }
@@ -249,7 +305,11 @@
 	}
 	if e.Action == GateReject {
 		delete(sim.runs, e.Call)
-		sim.deliverResult(run, AttemptDone{Outcome: mesh.NotRun, Reason: e.Reason, Load: e.Load, HasLoad: true})
+		sim.deliverResult(run, AttemptDone{Outcome: mesh.NotRun, Reason: e.Reason, Load: e.Load, HasLoad: true, Suspicion: e.Suspicion})
+		return
+	}
+	if sim.hosts[run.gate].instanceDown {
+		sim.endRun(e.Call, GateDone{Result: GateNotSent, Down: true}, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonConnectionLost})
 		return
 	}
 	r := run.request
@@ -268,7 +328,12 @@
 	if r.service == frontService {
 		work = frontWork
 	}
-	sim.after(time.Duration(float64(work)*(0.5+sim.random.Float64())), func() { sim.runCalls(e.Call, run, repeat, lost) })
+	sim.after(time.Duration(float64(work)*(0.5+sim.random.Float64())), func() {
+		if r.fingerprint == sim.crashing && sim.runs[e.Call] != nil {
+			sim.crashInstance(run.gate)
+		}
+		sim.runCalls(e.Call, run, repeat, lost)
+	})
 }
 
 // runCalls makes the calls of a run. The run's answer reports a failure unless all of
@@ -315,6 +380,9 @@
 	sim.step(run.gate, gate)
 	if node := sim.hosts[run.gate].node; node != nil {
 		done.Load, done.HasLoad = node.LocalLoad(), true
+		if gate.Down || run.suspicion.Crashes > 0 {
+			done.Suspicion = node.Suspicion(sim.now, run.request.fingerprint)
+		}
 	}
 	sim.deliverResult(run, done)
 }
@@ -343,8 +411,12 @@
 	}
 	sim.nextID++
 	id := sim.nextID
-	sim.requests[id] = &meshRequest{entry: host, epoch: sim.hosts[host].epoch, service: service, fromRepeat: fromRepeat, done: done}
-	sim.step(host, CallArrived{Call: id, Host: "a", Path: path, Fingerprint: mesh.Fingerprint(id), Budget: timeout})
+	fingerprint, ok := sim.identical[path]
+	if !ok {
+		fingerprint = mesh.Fingerprint(id)
+	}
+	sim.requests[id] = &meshRequest{entry: host, epoch: sim.hosts[host].epoch, service: service, fingerprint: fingerprint, fromRepeat: fromRepeat, done: done}
+	sim.step(host, CallArrived{Call: id, Host: "a", Path: path, Fingerprint: fingerprint, Budget: timeout})
 }
 
 func (sim *meshSimulation) faultActive() bool {
@@ -374,6 +446,12 @@
 		sim.after(50*ms, tick)
 	}
 	sim.after(0, tick)
+	sim.after(0, sim.exchangePoison)
+	for at, hosts := range sim.crashes {
+		for _, host := range hosts {
+			sim.after(at, func() { sim.crashInstance(host) })
+		}
+	}
 	for at, hosts := range sim.restarts {
 		for _, host := range hosts {
 			sim.after(at, func() { sim.killNode(host) })
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 )
 
@@ -315,7 +316,7 @@
 func TestCrashingRequestIsBlocked(t *testing.T) {
 	is := is.New(t)
 	tn := newTestNode(t).withConfigAndMembers()
-	e := tn.endAttempt(tn.call(1, "/read/1"), AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true, Crashes: 2})
+	e := tn.endAttempt(tn.call(1, "/read/1"), AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true, Suspicion: poison.Suspicion{Crashes: 2}})
 	is.Equal(e.Reason, mesh.ReasonPoison)
 	is.Equal(e.Outcome, mesh.MayHaveRun)
 }
@@ -453,12 +454,12 @@
 	again := func(id mesh.CallID) CallEffect {
 		return tn.step(CallArrived{Call: id, Host: "a", Path: "/read/1", Fingerprint: 7, Budget: time.Second}).Calls[0]
 	}
-	lost := AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true, Crashes: 1}
+	lost := AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true, Suspicion: poison.Suspicion{Crashes: 1}}
 	tn.endAttempt(again(1), lost)
 	second := again(2)
 	is.Equal(second.Action, CallForward)
-	is.Equal(second.Crashes, uint8(1)) // so that the next gate runs it exclusively
-	lost.Crashes = 2
+	is.Equal(second.Suspicion.Crashes, uint8(1)) // so that the next gate runs it exclusively
+	lost.Suspicion.Crashes = 2
 	tn.endAttempt(second, lost)
 	is.Equal(again(3).Reason, mesh.ReasonPoison)
 	is.Equal(tn.call(4, "/read/2").Action, CallForward) // another request
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -11,6 +11,7 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/egress"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 	"github.com/chicoryscale/chicoryscale/internal/upstream"
 )
@@ -31,16 +32,16 @@
 	idempotent        bool          // the request may run more than once
 	repeatProbability float64       // probability that the request is a retry
 	fingerprint       mesh.Fingerprint
-	crashes           uint8 // crashes of instances that earlier attempts were charged with
+	suspicion         poison.Suspicion
 }
 
 // gateAnswer is the result of a request at a gate.
 type gateAnswer struct {
 	outcome    mesh.Outcome
 	reason     mesh.Reason
-	reached    bool          // the request was passed to the instance, or may have been
-	hostFailed bool          // the connection to the gate's host failed
-	crashes    uint8         // crashes of instances that the request is charged with
+	reached    bool // the request was passed to the instance, or may have been
+	hostFailed bool // the connection to the gate's host failed
+	suspicion  poison.Suspicion
 	waited     time.Duration // time until a slot was free
 	duration   time.Duration // time that the instance took
 	backlog    time.Duration // time that large answers wait for the host's link
@@ -153,7 +154,7 @@
 	}()
 	n.step(proxy.GateArrived{
 		Call: id, Instance: f.instance, Route: f.route, Rank: f.rank, TimeLeft: f.deadline.Sub(n.now()), TimeToTarget: f.leftToTarget,
-		MayQueue: f.mayQueue, Fingerprint: f.fingerprint, Crashes: f.crashes, RepeatProbability: f.repeatProbability,
+		MayQueue: f.mayQueue, Fingerprint: f.fingerprint, Suspicion: f.suspicion, RepeatProbability: f.repeatProbability,
 	})
 	select {
 	case e := <-effects:
@@ -164,7 +165,7 @@
 			return a
 		}
 		n.logGateResult(f, id, "rejected", e.Reason, e.Load, 0, nil)
-		return gateAnswer{outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, crashes: e.Crashes}
+		return gateAnswer{outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, suspicion: e.Suspicion}
 	case <-ctx.Done():
 	}
 	n.step(proxy.GateCancelled{Call: id})
@@ -206,8 +207,8 @@
 	}
 	n.step(done)
 	n.inspect(func(r *proxy.Node) {
-		if done.Down {
-			a.crashes = r.CrashCount(n.now(), f.fingerprint)
+		if done.Down || f.suspicion.Crashes > 0 {
+			a.suspicion = r.Suspicion(n.now(), f.fingerprint)
 		}
 		a.load, a.hasLoad = r.LocalLoad(), true
 	})
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
 )
 
 // Headers between nodes. All fields are packed into one header of the request and one of
@@ -21,7 +22,10 @@
 	// headerRepeatProbability holds the probability that the request is a retry. It is
 	// omitted if that is zero.
 	headerRepeatProbability = "Chicory-Repeated"
-	fieldSeparator          = ";"
+	// headerCleared holds the number of times that the request was cleared of crashes, in
+	// both directions. It is omitted if that is zero.
+	headerCleared  = "Chicory-Cleared"
+	fieldSeparator = ";"
 )
 
 // Number of fields of headerCall and headerResult.
@@ -76,11 +80,12 @@
 	h.Set(headerCall, strings.Join([]string{
 		string(f.instance), string(f.route), strconv.Itoa(f.rank),
 		strconv.FormatInt(max(f.deadline.Sub(now).Milliseconds(), 1), 10), strconv.FormatInt(f.leftToTarget.Milliseconds(), 10),
-		strconv.FormatUint(uint64(f.fingerprint), 36), strconv.Itoa(int(f.crashes)), formatFlags(f.mayQueue, f.idempotent),
+		strconv.FormatUint(uint64(f.fingerprint), 36), strconv.Itoa(int(f.suspicion.Crashes)), formatFlags(f.mayQueue, f.idempotent),
 	}, fieldSeparator))
 	if f.repeatProbability > 0 {
 		h.Set(headerRepeatProbability, strconv.FormatFloat(f.repeatProbability, 'g', 2, 64))
 	}
+	setCleared(h, f.suspicion)
 }
 
 // decodeForwarded decodes a request that another node has forwarded. It reports false
@@ -103,11 +108,26 @@
 		method: r.Method, target: r.RequestURI, host: r.Host, header: endToEndHeader(r.Header), body: body,
 		instance: mesh.InstanceID(fields[0]), route: mesh.Route(fields[1]), rank: rank,
 		deadline: now.Add(time.Duration(leftMillis) * time.Millisecond), leftToTarget: time.Duration(targetMillis) * time.Millisecond,
-		mayQueue: mayQueue, idempotent: idempotent, fingerprint: mesh.Fingerprint(fingerprint), crashes: uint8(crashes),
+		mayQueue: mayQueue, idempotent: idempotent, fingerprint: mesh.Fingerprint(fingerprint), suspicion: poison.Suspicion{Crashes: uint8(crashes), Cleared: parseCleared(r.Header)},
 		repeatProbability: parseProbability(r.Header.Get(headerRepeatProbability)),
 	}, true
 }
 
+func setCleared(h http.Header, s poison.Suspicion) {
+	if s.Cleared > 0 {
+		h.Set(headerCleared, strconv.FormatUint(uint64(s.Cleared), 10))
+	}
+}
+
+// parseCleared parses headerCleared. It returns zero for a missing or malformed value.
+func parseCleared(h http.Header) uint32 {
+	v, err := strconv.ParseUint(h.Get(headerCleared), 10, 32)
+	if err != nil {
+		return 0
+	}
+	return uint32(v)
+}
+
 // parseProbability parses a probability. It returns zero for any other text.
 func parseProbability(text string) float64 {
 	v, err := strconv.ParseFloat(text, 64)
@@ -137,11 +157,12 @@
 // encode sets the header that tells the entry node the gate's result.
 func (a *gateAnswer) encode(h http.Header) {
 	h.Set(headerResult, strings.Join([]string{
-		strconv.Itoa(int(a.outcome)), strconv.Itoa(int(a.reason)), formatFlags(a.reached, a.hasLoad), strconv.Itoa(int(a.crashes)),
+		strconv.Itoa(int(a.outcome)), strconv.Itoa(int(a.reason)), formatFlags(a.reached, a.hasLoad), strconv.Itoa(int(a.suspicion.Crashes)),
 		strconv.FormatInt(a.duration.Microseconds(), 10),
 		strconv.Itoa(int(a.load.Slots)), strconv.Itoa(int(a.load.InUse)), strconv.Itoa(int(a.load.Queued)),
 		strconv.FormatInt(a.backlog.Milliseconds(), 10), strconv.FormatInt(a.waited.Microseconds(), 10),
 	}, fieldSeparator))
+	setCleared(h, a.suspicion)
 }
 
 // decodeGateAnswer decodes the gate's result and removes the headers between nodes. It
@@ -149,6 +170,7 @@
 // whether the request has run is unknown.
 func decodeGateAnswer(h http.Header) (gateAnswer, bool) {
 	fields := strings.Split(h.Get(headerResult), fieldSeparator)
+	cleared := parseCleared(h)
 	for name := range h {
 		if strings.HasPrefix(name, headerPrefix) {
 			delete(h, name)
@@ -166,7 +188,7 @@
 		numbers[i] = v
 	}
 	a := gateAnswer{
-		outcome: mesh.Outcome(numbers[0]), reason: mesh.Reason(numbers[1]), crashes: uint8(numbers[3]),
+		outcome: mesh.Outcome(numbers[0]), reason: mesh.Reason(numbers[1]), suspicion: poison.Suspicion{Crashes: uint8(numbers[3]), Cleared: cleared},
 		duration: time.Duration(numbers[4]) * time.Microsecond,
 		load:     mesh.Load{Slots: uint16(numbers[5]), InUse: uint16(numbers[6]), Queued: uint16(numbers[7])},
 		backlog:  time.Duration(numbers[8]) * time.Millisecond,
--- a/internal/sidecar/headers_test.go
+++ b/internal/sidecar/headers_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
 )
 
 const testNow = mesh.Time(time.Hour)
@@ -18,7 +19,7 @@
 	is := is.New(t)
 	in := forwardedRequest{
 		instance: "i-1", route: "r", rank: 2, deadline: testNow.Add(time.Second), leftToTarget: -20 * time.Millisecond,
-		mayQueue: true, fingerprint: 1 << 63, crashes: 1, repeatProbability: 0.25,
+		mayQueue: true, fingerprint: 1 << 63, suspicion: poison.Suspicion{Crashes: 1, Cleared: 3}, repeatProbability: 0.25,
 	}
 	r := httptest.NewRequest(http.MethodGet, "/x?y=1", nil)
 	in.encode(r.Header, testNow)
@@ -35,7 +36,7 @@
 func TestGateAnswerRoundTrip(t *testing.T) {
 	is := is.New(t)
 	in := gateAnswer{
-		outcome: mesh.NotRun, reason: mesh.ReasonOverload, reached: true, crashes: 1, waited: 2 * time.Millisecond, duration: 3 * time.Millisecond, backlog: 70 * time.Millisecond,
+		outcome: mesh.NotRun, reason: mesh.ReasonOverload, reached: true, suspicion: poison.Suspicion{Crashes: 1, Cleared: 3}, waited: 2 * time.Millisecond, duration: 3 * time.Millisecond, backlog: 70 * time.Millisecond,
 		load: mesh.Load{Slots: 9, InUse: 8, Queued: 7}, hasLoad: true,
 	}
 	h := http.Header{"X-Other": {"1"}}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -161,7 +161,7 @@
 	f := forwardedRequest{
 		method: r.http.Method, target: r.http.RequestURI, host: r.http.Host, body: r.body,
 		instance: e.Instance, route: e.Route, rank: e.Rank, deadline: e.Deadline, leftToTarget: e.TimeToTarget,
-		mayQueue: e.MayQueue, idempotent: e.Idempotent, fingerprint: r.fingerprint, crashes: e.Crashes, repeatProbability: e.RepeatProbability,
+		mayQueue: e.MayQueue, idempotent: e.Idempotent, fingerprint: r.fingerprint, suspicion: e.Suspicion, repeatProbability: e.RepeatProbability,
 	}
 	f.header = endToEndHeader(r.http.Header)
 	f.header.Set(n.headers.Caller, string(n.settings.Service))
@@ -178,7 +178,7 @@
 	}
 	n.step(proxy.AttemptDone{
 		Call: r.id, Attempt: e.Attempt, Outcome: a.outcome, Reason: a.reason, Failed: a.failed(), Reached: a.reached,
-		HostFailed: a.hostFailed, Crashes: a.crashes, Duration: max(a.duration, time.Since(started)-a.waited), Bytes: a.bytes(), Backlog: a.backlog, Load: a.load, HasLoad: a.hasLoad,
+		HostFailed: a.hostFailed, Suspicion: a.suspicion, Duration: max(a.duration, time.Since(started)-a.waited), Bytes: a.bytes(), Backlog: a.backlog, Load: a.load, HasLoad: a.hasLoad,
 	})
 }
 
