Open the gate only for an instance that has confirmed it serves

Cause: a new process learns of its instance from a record or from a heartbeat, and either may be older than a leave that an earlier process acknowledged. Only the first way asked the instance. The logs of the unchanged code show instance.probed serving=false, and 1.4 s later instance.reported with the sequence number of the late heartbeat, after which the other hosts see the gate open. Ruled out by them: the row in the store, which does name the instance, and copies of other nodes. Storing the leave would not close the gap: the acknowledgement would have to wait for a store that may be away.

The heartbeat of an instance that this process doesn't know is now held back until the instance has answered a health probe under its name. A heartbeat that reports a drain is applied at once, and a leave ends the wait. One older test needs a configuration now, as the health path comes from it; what it checks is unchanged.

The new reducer test and the two new cases of TestAcknowledgedLeaveSurvivesNodeKill, on real processes, fail on the commit before this one and pass with it.

--- a/internal/proxy/adoption.go
+++ b/internal/proxy/adoption.go
@@ -10,14 +10,19 @@
 
 // A sidecar process that starts while the instance on its host is already running
 // finds the instance in the member record of the previous sidecar process. It adopts
-// the instance without waiting for the next heartbeat, but only after the instance
-// has answered a health probe: the record may be older than a leave message that the
-// previous process has acknowledged.
+// the instance without waiting for the next heartbeat.
+//
+// A record or a heartbeat may be older than a leave message that the previous process has
+// acknowledged, and a heartbeat may be another writer's. Only the instance knows for
+// certain, so the gate opens for an instance only after the instance has answered a health
+// probe of this process under its name.
 
 // predecessor describes the previous sidecar processes of this host.
 type predecessor struct {
 	Member      // the newest record of a previous process
 	probed bool // a probe was sent to the instance named in a record
+	// probing is the instance whose probe is in progress, empty if there is none.
+	probing mesh.InstanceID
 	// leftInstance is the last instance that announced that it exits, nil if there is
 	// none.
 	leftInstance *MemberInstance
@@ -55,7 +60,39 @@
 		return
 	}
 	n.predecessor.probed = true
-	s.out.Probes = append(s.out.Probes, InstanceProbe{ID: i.ID, Path: path})
+	n.probe(s, i.ID, path)
+}
+
+// probe asks for a health probe unless one of the same instance is in progress.
+func (n *Node) probe(s *step, id mesh.InstanceID, path string) {
+	if n.predecessor.probing != id {
+		n.predecessor.probing = id
+		s.out.Probes = append(s.out.Probes, InstanceProbe{ID: id, Path: path})
+	}
+}
+
+// mustConfirm reports whether the instance of a heartbeat has to answer a probe before the
+// gate opens for it.
+func (n *Node) mustConfirm(e *InstanceReported) bool {
+	known := n.local.id == e.ID && (n.local.adopted || n.local.born == e.Born)
+	return !known && !e.Draining && !n.hasLeft(e.ID, e.Born)
+}
+
+// confirmReport probes the instance of the heartbeat that is held back, once the
+// configuration names the path for it. An instance whose service has no health path is
+// taken at its word.
+func (n *Node) confirmReport(s *step) {
+	if n.unconfirmed == nil || n.config == nil {
+		return
+	}
+	path := n.config.HealthPath(n.unconfirmed.Service)
+	if path == "" {
+		report := n.unconfirmed
+		n.unconfirmed = nil
+		n.applyReport(s, report)
+		return
+	}
+	n.probe(s, n.unconfirmed.ID, path)
 }
 
 // adoptable reports whether this process may adopt an instance of an earlier process:
@@ -67,9 +104,19 @@
 }
 
 func (e InstanceProbed) apply(n *Node, s *step) {
-	i := n.predecessor.Instance
-	adopted := e.Serving && i != nil && i.ID == e.ID && n.adoptable(i)
-	s.log("instance.probed", "instance", string(e.ID), "serving", e.Serving, "adopted", adopted)
+	if n.predecessor.probing == e.ID {
+		n.predecessor.probing = ""
+	}
+	i, report := n.predecessor.Instance, n.unconfirmed
+	reported := report != nil && report.ID == e.ID
+	adopted := e.Serving && !reported && i != nil && i.ID == e.ID && n.adoptable(i)
+	s.log("instance.probed", "instance", string(e.ID), "serving", e.Serving, "reported", reported, "adopted", adopted)
+	if reported {
+		n.unconfirmed = nil // the next heartbeat leads to another probe
+	}
+	if reported && e.Serving {
+		n.applyReport(s, report)
+	}
 	if !adopted {
 		return
 	}
--- a/internal/proxy/adoption_test.go
+++ b/internal/proxy/adoption_test.go
@@ -96,6 +96,7 @@
 	for _, e := range leaves {
 		for _, lateFirst := range []bool{false, true} {
 			tn := newTestNode(t)
+			tn.step(ConfigurationSeen{testSnapshot(t, 5)})
 			late := InstanceReported{ID: "i0", Service: "s", Slots: 2, Born: born, Sequence: 3}
 			events := []Event{e, late}
 			if lateFirst {
@@ -113,6 +114,56 @@
 	}
 }
 
+// Guards against a late heartbeat that opens the gate of a restarted node for an instance
+// whose exit the previous process has acknowledged. No record of that is left.
+func TestHeartbeatAfterRestartOpensTheGateOnlyForAServingInstance(t *testing.T) {
+	is := is.New(t)
+	tn := newTestNode(t)
+	late := InstanceReported{ID: "i0", Born: 7, Sequence: 8}
+	is.Equal(len(tn.heartbeat(late).Probes), 0) // the health path is not known yet
+	is.Equal(tn.arriveAtGate(1, "i0"), GateReject)
+	out := tn.step(ConfigurationSeen{snapshotWithHealthPath(t)})
+	is.Equal(out.Probes, []InstanceProbe{{ID: "i0", Path: "/health"}})
+	tn.step(InstanceProbed{ID: "i0"})
+	is.Equal(tn.arriveAtGate(2, "i0"), GateReject)
+
+	// An instance that does serve is probed again with its next heartbeat.
+	is.Equal(len(tn.heartbeat(InstanceReported{ID: "i0", Born: 7, Sequence: 9}).Probes), 1)
+	is.Equal(len(tn.heartbeat(InstanceReported{ID: "i0", Born: 7, Sequence: 10}).Probes), 0) // one at a time
+	is.Equal(tn.arriveAtGate(3, "i0"), GateReject)
+	is.True(tn.step(InstanceProbed{ID: "i0", Serving: true}).Announce)
+	is.Equal(tn.arriveAtGate(4, "i0"), GateDispatch)
+
+	// The first instance serves until its successor is known to.
+	is.Equal(len(tn.heartbeat(InstanceReported{ID: "i1", Born: 9, Sequence: 1}).Probes), 1)
+	is.Equal(tn.arriveAtGate(5, "i0"), GateDispatch)
+	is.Equal(tn.arriveAtGate(6, "i1"), GateReject)
+	tn.step(InstanceProbed{ID: "i1", Serving: true})
+	is.Equal(tn.arriveAtGate(7, "i1"), GateDispatch)
+}
+
+// Guards against a probe that was answered before the instance announced its exit, or a
+// drain, and opens the gate afterwards.
+func TestProbeDoesNotOutweighALaterLeave(t *testing.T) {
+	is := is.New(t)
+	for _, left := range []Event{
+		InstanceLeft{ID: "i0", Born: 7},
+		InstanceLeft{ID: "i0"},
+		InstanceReported{ID: "i0", Service: "s", Slots: 2, Born: 7, Sequence: 9, Draining: true},
+	} {
+		tn := newTestNode(t)
+		tn.step(ConfigurationSeen{snapshotWithHealthPath(t)})
+		tn.heartbeat(InstanceReported{ID: "i0", Born: 7, Sequence: 8})
+		tn.step(left)
+		tn.step(InstanceProbed{ID: "i0", Serving: true})
+		is.Equal(tn.arriveAtGate(1, "i0"), GateReject)
+		tn.heartbeat(InstanceReported{ID: "i0", Born: 7, Sequence: 6})
+		tn.step(InstanceProbed{ID: "i0", Serving: true})
+		is.Equal(tn.arriveAtGate(2, "i0"), GateReject)
+		is.True(tn.node.Self().Instance.Left)
+	}
+}
+
 // Guards against a restarted host that can't get the record of its previous process from
 // a peer. The peer returns it as long as it has no record of the new process.
 func TestPreviousRecordOfRestartedHost(t *testing.T) {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/admission"
@@ -202,12 +203,26 @@
 }
 
 func (e InstanceReported) apply(n *Node, s *step) {
-	l := &n.local
 	if !n.acceptsHeartbeat(&e) {
 		n.counters.HeartbeatsIgnored++
 		return
 	}
 	n.counters.HeartbeatsAccepted++
+	switch {
+	case !n.mustConfirm(&e):
+		n.applyReport(s, &e)
+	case n.unconfirmed == nil || e.newer(n.unconfirmed):
+		n.unconfirmed = &e
+		n.confirmReport(s)
+	}
+}
+
+// applyReport makes the instance of a heartbeat the one of this host.
+func (n *Node) applyReport(s *step, e *InstanceReported) {
+	l := &n.local
+	if n.unconfirmed != nil && e.newer(n.unconfirmed) {
+		n.unconfirmed = nil
+	}
 	if l.adopted && l.id == e.ID {
 		l.born, l.adopted = e.Born, false
 	}
@@ -230,6 +245,11 @@
 	}
 }
 
+// newer reports whether a heartbeat was sent after another one on the same host.
+func (e *InstanceReported) newer(other *InstanceReported) bool {
+	return cmp.Or(cmp.Compare(e.Born, other.Born), cmp.Compare(e.Sequence, other.Sequence)) > 0
+}
+
 // acceptsHeartbeat reports whether a heartbeat is from the current instance or its
 // successor. It rejects late heartbeats, and those of a service that is neither this
 // host's nor in the configuration.
@@ -248,7 +268,11 @@
 }
 
 func (e InstanceLeft) apply(n *Node, s *step) {
-	if n.local.id == "" {
+	unconfirmed := n.unconfirmed != nil && n.unconfirmed.ID == e.ID
+	if unconfirmed {
+		n.unconfirmed = nil
+	}
+	if n.local.id == "" || unconfirmed {
 		n.recordInstanceLeft(s, leftBeforeHeartbeat(s.now, e))
 		return
 	}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -70,6 +70,9 @@
 	firstAnnounced map[mesh.InstanceID]mesh.Time // time of each instance's first announcement, zero if it counts as warm
 	local          localInstance
 	predecessor    predecessor
+	// unconfirmed is the newest heartbeat of an instance that has not answered a probe yet,
+	// nil if there is none.
+	unconfirmed *InstanceReported
 	// membersChanged causes the routing table to be rebuilt at the end of the step.
 	membersChanged bool
 
@@ -202,6 +205,7 @@
 	n.routeWindows = keptWindows
 	s.log("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
 	n.probePredecessorInstance(s)
+	n.confirmReport(s)
 	if len(n.heldCalls) > 0 {
 		n.updateRouting(s) // so that the table has the members of this step too
 		n.beginHeldCalls(s)
--- a/internal/soak/restart_test.go
+++ b/internal/soak/restart_test.go
@@ -65,18 +65,22 @@
 // Guards against routing calls to an instance again because its node was killed
 // right after acknowledging that the instance leaves. The host's row in the store is
 // then older than the acknowledgement, and if the store is down and all nodes are
-// killed, no other copy is left.
+// killed, no other copy is left. A heartbeat from before the leave may arrive at the new
+// process.
 func TestAcknowledgedLeaveSurvivesNodeKill(t *testing.T) {
 	for i, c := range []struct {
 		name               string
 		drain              bool // the instance reports draining instead of leaving, and nothing afterwards
 		storeDown, killAll bool
+		lateHeartbeat      bool
 	}{
 		{name: "leave, node killed"},
 		{name: "leave, store down, node killed", storeDown: true},
 		{name: "leave, all killed", killAll: true},
 		{name: "leave, store down, all killed", storeDown: true, killAll: true},
 		{name: "drain, store down, all killed", drain: true, storeDown: true, killAll: true},
+		{name: "leave, all killed, late heartbeat", killAll: true, lateHeartbeat: true},
+		{name: "drain, node killed, late heartbeat", drain: true, lateHeartbeat: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
@@ -85,6 +89,8 @@
 			time.Sleep(rowUpdateLimit) // wait until the host's row names the instance
 			p.store.SetFaults(standin.StoreFaults{Down: c.storeDown})
 			leaving := p.hosts[0]
+			sendLate, err := leaving.instance.NewHeartbeat()
+			is.NoErr(err)
 			if c.drain {
 				leaving.instance.StopHeartbeats()
 				is.NoErr(leaving.instance.Drain(t.Context()))
@@ -105,6 +111,9 @@
 			}
 			p.store.SetFaults(standin.StoreFaults{})
 			time.Sleep(time.Until(acknowledged.Add(drainLimit)))
+			if c.lateHeartbeat {
+				is.NoErr(sendLate(t.Context()))
+			}
 			runsBefore := len(leaving.instance.Runs())
 			totalBefore := len(p.allRuns())
 			time.Sleep(drainLimit)
