Ignore member rows that no node can have written, and replace such roll-out rows

Reported by operators of similar systems: an odd entry of another writer ends the machines that read the list, or stops them from following it. It could happen here:

- A member row with the largest incarnation made its host count up beyond it and overflow, so that no other host believed the host again.
- A member row with a port out of range counted as a host to be contacted.

The reader checks the rows now. An invalid row of a roll-out still tells its revision, so that the next write can replace it: the driver puts back what it knows, also for a roll-out that has ended.

--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -2,7 +2,10 @@
 
 import (
 	"maps"
+	"math"
+	"net"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
@@ -50,6 +53,33 @@
 	WarmUpMillis int64 `json:"warm_up_ms,omitempty"`
 }
 
+const (
+	// maxIncarnation bounds the incarnations of records from the store. A host raises its
+	// own above that of its latest record, which must not overflow.
+	maxIncarnation = mesh.Incarnation(math.MaxInt64 / 2)
+	// maxWarmUp bounds the time for which an instance may be slow after its start.
+	maxWarmUp = time.Hour
+)
+
+// Valid reports whether a record from the store can have been written by a node.
+func (m *Member) Valid() bool {
+	if !validAddr(m.ForwardAddr) || !validAddr(m.PeerAddr) || m.Incarnation < 0 || m.Incarnation > maxIncarnation || m.LinkMbps < 0 {
+		return false
+	}
+	i := m.Instance
+	return i == nil || i.ID != "" && i.Slots > 0 && i.WarmUpMillis >= 0 && i.WarmUpMillis <= maxWarmUp.Milliseconds()
+}
+
+// validAddr reports whether an address consists of a host and the number of a port.
+func validAddr(addr string) bool {
+	host, port, err := net.SplitHostPort(addr)
+	if err != nil || host == "" {
+		return false
+	}
+	number, err := strconv.ParseUint(port, 10, 16)
+	return err == nil && number > 0
+}
+
 // newer reports whether m replaces old.
 func (m *Member) newer(old *Member) bool {
 	if m.Incarnation != old.Incarnation {
--- a/internal/rollout/reducer.go
+++ b/internal/rollout/reducer.go
@@ -77,6 +77,9 @@
 	stageStartedAt mesh.Time // time at which this host saw the row's stage begin
 	rowChangedAt   mesh.Time // time at which this host last saw the row or the order change
 	rowWrittenAt   mesh.Time // time of this host's latest write of the row
+	// restoreRow is set while the store has an invalid row in place of row. The revision
+	// of row is then that of the invalid one.
+	restoreRow bool
 	evidence       map[mesh.InstanceID]Evidence
 	// atStageStart is the evidence at stageStartedAt.
 	atStageStart map[mesh.InstanceID]Evidence
@@ -123,12 +126,18 @@
 }
 
 // ApplyRow applies the stored row of a roll-out. It reports whether the row is newer
-// than the known one.
+// than the known one. An invalid row, which another writer has stored, changes nothing
+// but the revision that a write has to expect.
 func (r *Reducer) ApplyRow(now mesh.Time, row Row) bool {
 	ro := r.rolloutOf(row.Service)
 	if row.Revision <= ro.row.Revision {
 		return false
 	}
+	ro.restoreRow = !row.valid()
+	if ro.restoreRow {
+		ro.row.Revision, ro.rowChangedAt = row.Revision, now
+		return false
+	}
 	if row.Stage != ro.row.Stage || row.Order != ro.row.Order {
 		ro.stageStartedAt, ro.atStageStart = now, maps.Clone(ro.evidence)
 	}
@@ -250,6 +259,9 @@
 		}
 		return r.firstRow(ro), true
 	}
+	if ro.restoreRow {
+		return ro.row, now.Sub(ro.rowChangedAt) >= delay
+	}
 	if ro.row.Order != ro.order.Revision || ro.row.State.Final() {
 		return Row{}, false
 	}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -276,3 +276,36 @@
 		is.True(exposed <= int(0.1*600*duration.Seconds())+50)
 	}
 }
+
+// Guards against nodes that end, or that leave a roll-out to itself, because another writer
+// has replaced its row by one that can't be: they must put back the row that they know.
+func TestInvalidRowIsReplaced(t *testing.T) {
+	is := is.New(t)
+	order := Order{Service: "s", Target: "v2", Duration: duration, Revision: 10}
+	slots := func(mesh.Service) Slots { return Slots{"v1": 63, "v2": 63} }
+	for _, state := range []State{Running, Completed, RolledBack} {
+		for _, invalid := range []Row{
+			{},
+			{Target: "v2", Order: 10, State: Running, Stage: len(stages)},
+			{Target: "v2", Order: 10, State: Running, Stage: -1},
+			{Target: "v2", Order: 10, State: RolledBack + 1},
+			{Target: "v2", Order: 99, State: Running}, // of an order that was not given yet
+		} {
+			r := New("a")
+			r.ApplyOrder(start, order)
+			known := Row{Service: "s", Target: "v2", Order: 10, State: state, Driver: "a", Revision: 20}
+			r.ApplyRow(start, known)
+			plan := r.Plan("s")
+			invalid.Service, invalid.Driver, invalid.Revision = "s", "a", 21
+			r.ApplyRow(start, invalid)
+			is.Equal(r.Plan("s"), plan)
+			writes := r.Tick(start.Add(time.Second), 0, slots, nil)
+			is.Equal(len(writes), 1)
+			is.Equal(writes[0].Expect, uint64(21))
+			is.Equal(writes[0].Row.State, state)
+			known.Revision = 22
+			r.ApplyRow(start.Add(time.Second), known)
+			is.Equal(len(r.Tick(start.Add(time.Second), 0, slots, nil)), 0)
+		}
+	}
+}
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -67,6 +67,12 @@
 	Revision uint64 `json:"-"`
 }
 
+// valid reports whether a stored row can have been written by a node.
+func (r *Row) valid() bool {
+	return r.Target != "" && r.State >= Running && r.State <= RolledBack &&
+		r.Stage >= 0 && r.Stage < len(stages) && r.Order <= r.Revision
+}
+
 // Write is an effect: store Row if the stored row still has the revision Expect.
 type Write struct {
 	Row    Row
--- a/internal/sidecar/tablesync.go
+++ b/internal/sidecar/tablesync.go
@@ -253,13 +253,14 @@
 		n.applyMemberRow(mesh.HostID(host), c)
 		return
 	}
-	if !strings.HasPrefix(c.Key, rolloutPrefix) || c.Deleted {
+	service, ok := strings.CutPrefix(c.Key, rolloutPrefix)
+	if !ok || c.Deleted {
 		return
 	}
 	var row rollout.Row
-	if err := json.Unmarshal(c.Value, &row); err != nil {
-		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "error", err.Error())
-		return
+	if err := json.Unmarshal(c.Value, &row); err != nil || string(row.Service) != service {
+		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "error", errorText(err))
+		row = rollout.Row{Service: mesh.Service(service)} // invalid; the driver replaces it
 	}
 	row.Revision = uint64(c.Revision)
 	n.step(proxy.RolloutSeen{Row: row})
@@ -272,8 +273,8 @@
 	}
 	var m proxy.Member
 	// A row is also unreadable if the host in its value is not the one in its key.
-	if err := json.Unmarshal(c.Value, &m); err != nil || m.Host != host {
-		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "host", string(m.Host))
+	if err := json.Unmarshal(c.Value, &m); err != nil || m.Host != host || !m.Valid() {
+		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "host", string(m.Host), "error", errorText(err))
 		return
 	}
 	n.step(proxy.MembersSeen{Members: []proxy.Member{m}, FromStore: true})
