Reject heartbeats that no instance can have sent

- A start time in the future, or a sequence number near the largest, made every later heartbeat of the instance look old.
It was acknowledged and ignored, also one that reported a drain, so requests went on to an instance that had been told that it gets none.

Such heartbeats are rejected now. A drain counts whatever the sequence number, as it is never taken back. Another instance's name displaces nobody since the gate waits for the answer to a probe.

--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -19,6 +19,9 @@
 	// evidenceInterval is the shortest time between two reports of evidence, the counts
 	// of the instance's answers, from a gate to the driver of a roll-out.
 	evidenceInterval = 300 * time.Millisecond
+	// maxClockDifference bounds by how much the instance's time of day may be ahead of this
+	// process's, which is that of its start.
+	maxClockDifference = time.Hour
 )
 
 // gateCall is a forwarded request that is queued at the gate of this host or runs at
@@ -203,7 +206,7 @@
 }
 
 func (e InstanceReported) apply(n *Node, s *step) {
-	if !n.acceptsHeartbeat(&e) {
+	if !n.acceptsHeartbeat(s, &e) {
 		n.counters.HeartbeatsIgnored++
 		return
 	}
@@ -234,7 +237,10 @@
 		*l = localInstance{id: e.ID, born: e.Born}
 	}
 	previous := *l
-	l.service, l.version, l.slots, l.sequence = e.Service, e.Version, max(e.Slots, 1), e.Sequence
+	l.service, l.version, l.slots = e.Service, e.Version, max(e.Slots, 1)
+	if isNew || e.Sequence > l.sequence {
+		l.sequence = e.Sequence
+	}
 	l.draining, l.down = e.Draining || l.draining && !isNew || n.hasLeft(e.ID, e.Born), false
 	l.warmAt = s.now.Add(e.WarmUp)
 	n.gateEffects = n.gate.SetInstance(s.now, admission.Instance{ID: l.id, Slots: l.slots, Draining: l.draining || l.left}, n.gateEffects)
@@ -251,10 +257,13 @@
 }
 
 // acceptsHeartbeat reports whether a heartbeat is from the current instance or its
-// successor. It rejects late heartbeats, and those of a service that is neither this
-// host's nor in the configuration.
-func (n *Node) acceptsHeartbeat(e *InstanceReported) bool {
+// successor. It rejects late heartbeats, those of a service that is neither this host's
+// nor in the configuration, and those from the future, after which no true one would count.
+func (n *Node) acceptsHeartbeat(s *step, e *InstanceReported) bool {
 	l := &n.local
+	if e.Born > int64(s.now.Add(maxClockDifference))/int64(time.Millisecond) {
+		return false
+	}
 	if n.settings.Service != "" && e.Service != n.settings.Service && (n.config == nil || !n.config.Has(e.Service)) {
 		return false
 	}
@@ -264,7 +273,9 @@
 	if e.Born != l.born {
 		return e.Born > l.born
 	}
-	return e.Sequence > l.sequence && !l.left
+	// A drain is never taken back, so it counts however late it arrives, and whatever
+	// another writer has stated about this instance.
+	return (e.Sequence > l.sequence || e.Draining) && !l.left
 }
 
 func (e InstanceLeft) apply(n *Node, s *step) {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strconv"
 	"testing"
 	"time"
@@ -233,6 +234,26 @@
 	is.True(!out.Announce)
 }
 
+// Guards against a heartbeat of another writer that keeps the instance's own from counting:
+// one from the future, one of another instance, or one with a large sequence number.
+func TestHeartbeatOfAnotherWriterDoesNotDisplaceTheInstance(t *testing.T) {
+	is := is.New(t)
+	for _, other := range []InstanceReported{
+		{ID: "i0", Born: math.MaxInt64, Sequence: 1}, {ID: "i9", Born: math.MaxInt64, Sequence: 1},
+		{ID: "i9", Born: 1001, Sequence: 1}, {ID: "i0", Born: 1000, Sequence: math.MaxInt64},
+	} {
+		tn := newTestNode(t)
+		tn.step(ConfigurationSeen{snapshotWithHealthPath(t)})
+		tn.heartbeat(InstanceReported{ID: "i0", Born: 1000, Sequence: 1})
+		tn.step(InstanceProbed{ID: "i0", Serving: true})
+		tn.heartbeat(other)
+		tn.step(InstanceProbed{ID: other.ID, Serving: other.ID == "i0"})
+		is.Equal(tn.arriveAtGate(1, "i0"), GateDispatch)
+		tn.heartbeat(InstanceReported{ID: "i0", Born: 1000, Sequence: 2, Draining: true})
+		is.Equal(tn.arriveAtGate(2, "i0"), GateReject)
+	}
+}
+
 // Guards against requests that reach an instance after it has reported that it drains.
 func TestGateOfDrainingInstanceIsClosed(t *testing.T) {
 	is := is.New(t)
--- a/internal/rollout/reducer.go
+++ b/internal/rollout/reducer.go
@@ -80,7 +80,7 @@
 	// restoreRow is set while the store has an invalid row in place of row. The revision
 	// of row is then that of the invalid one.
 	restoreRow bool
-	evidence       map[mesh.InstanceID]Evidence
+	evidence   map[mesh.InstanceID]Evidence
 	// atStageStart is the evidence at stageStartedAt.
 	atStageStart map[mesh.InstanceID]Evidence
 	// lastEvidence is a copy of the evidence as of lastEvidenceAt, at most about one
