Test that an answer which ends within its head is lost

Reported by operators of similar systems: an instance stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body. It can't happen here: for each prefix of a head, with a length, in chunks and with neither, both HTTP clients report a lost answer. The tests passed at once; they are kept because the parsers are those of libraries.

--- a/internal/connpool/pool_test.go
+++ b/internal/connpool/pool_test.go
@@ -127,6 +127,27 @@
 	is.True(set.Counters().ProbesFailed.Load() >= 2)
 }
 
+// Guards against returning a response with an empty or short body as complete because the
+// backend server closed the connection within its head.
+func TestTruncatedHeadIsLost(t *testing.T) {
+	is := is.New(t)
+	set := newSet(t, testOptions())
+	for _, framing := range []string{"Content-Length: 1234\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nX-Identity: 1\r\n" + framing + "\r\n"
+		for n := range len(head) {
+			addr := startServer(t, func(c net.Conn, r *bufio.Reader) {
+				if new(fasthttp.Request).Read(r) == nil {
+					_, _ = c.Write([]byte(head[:n]))
+				}
+			})
+			if _, err := call(set.Get(addr), "/x", testTimeout); !errorx.IsOfType(err, ErrLost) {
+				t.Errorf("%q: %v", head[:n], err)
+			}
+		}
+		is.True(!t.Failed())
+	}
+}
+
 // Guards against ErrNotSent for a request that a backend server has read, and against
 // ErrLost for one that no backend server can have received.
 func TestErrorTellsWhetherRequestWasSent(t *testing.T) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -102,6 +102,22 @@
 	}
 }
 
+// Guards against returning a response with an empty or short body as complete because the
+// server closed the connection within its head.
+func TestTruncatedHeadIsLost(t *testing.T) {
+	is := is.New(t)
+	for _, framing := range []string{"Content-Length: 1234\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nX-Identity: 1\r\nX-Signature: 7.1\r\n" + framing + "\r\n"
+		for n := range len(head) {
+			_, err := doWithTimeout(NewPool(serve(t, head[:n]), testOptions()), newGet("1"))
+			if !errorx.IsOfType(err, ErrLost) {
+				t.Errorf("%q: %v", head[:n], err)
+			}
+		}
+		is.True(!t.Failed())
+	}
+}
+
 // Guards against ErrNotSent for a request that was sent, and against ErrLost for one
 // that was not: only a request that was not sent may be sent again in any case.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
