Take an answer without identity for the current one only on a new connection

Reported by operators of similar systems: a faulty instance wrote an earlier refusal once more on a kept connection, and clients were told that a request had not run which had, or it ran at a second instance. It could happen here with a refusal that lacks the identity: a response without one counted as a match, so the repeated 503, 429, 400 or 421 ended the request that the instance was running as not run. One with its identity was skipped before.

A response without identity now counts only for the first request on its connection, where no earlier response can be on its way. Elsewhere it is skipped like one to another request, and the true answer is delivered. Requests that have no identity themselves, such as health probes, get a connection of their own.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,6 +39,9 @@
 	net.Conn
 	reader  *bufio.Reader
 	limiter *readLimiter // source of reader
+	// used is set once a request was written. Before that, no earlier response can be on its
+	// way.
+	used bool
 	// idleSince is the time at which the connection last became idle.
 	idleSince time.Time
 	// idleLimit is the idle time after which the connection is no longer used, because
@@ -128,6 +131,8 @@
 // exchange writes a request and reads its response: all of it, or only the status
 // line and headers if it is large enough to be streamed.
 func (c *conn) exchange(r *Request, o *Options) (exchangeResult, error) {
+	first := !c.used
+	c.used = true
 	n, err := c.Write(r.encode())
 	if err != nil {
 		return exchangeResult{mayHaveSent: n > 0}, err
@@ -137,7 +142,7 @@
 		if err != nil {
 			return exchangeResult{mayHaveSent: true}, err
 		}
-		if resp.StatusCode < http.StatusOK || !r.matches(resp, o.IdentityHeader) {
+		if resp.StatusCode < http.StatusOK || !r.matches(resp, o.IdentityHeader, first) {
 			if err := discardResponse(resp); err != nil {
 				return exchangeResult{mayHaveSent: true}, err
 			}
@@ -203,11 +208,17 @@
 )
 
 // matches reports whether the response is to this request: it must repeat the request's
-// value of the named header, which is Options.IdentityHeader. A response without that
-// header counts as a match.
-func (r *Request) matches(resp *http.Response, header string) bool {
-	echoed := resp.Header.Get(header)
-	return header == "" || echoed == "" || echoed == r.Header.Get(header)
+// value of the named header, which is Options.IdentityHeader. Without that header it
+// counts only if the request is the first one on its connection: a faulty server may
+// send an earlier response once more.
+func (r *Request) matches(resp *http.Response, header string, first bool) bool {
+	if header == "" {
+		return true
+	}
+	if echoed := resp.Header.Get(header); echoed != "" {
+		return echoed == r.Header.Get(header)
+	}
+	return first
 }
 
 // readBody reads a body into the buffer until the body ends or the buffer is full. The
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -66,7 +66,8 @@
 	StreamBytes int
 	// IdentityHeader names the header with the identity of the request (not that of a
 	// workload). The server repeats it in its response; a response with another value
-	// belongs to another request. Empty means no such check.
+	// belongs to another request, and so does one without a value unless the request was the
+	// first on its connection. Empty means no such check.
 	IdentityHeader string
 }
 
@@ -156,7 +157,7 @@
 // response also return to the budget Options.Memory. Errors are of the types
 // ErrNotSent, ErrBusy and ErrLost.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.acquire(ctx, r.NeedsFreshConn)
+	c, err := p.acquire(ctx, r)
 	if err != nil {
 		return nil, err
 	}
@@ -212,10 +213,13 @@
 	p.discard(c)
 }
 
-// acquire returns a suitable idle connection or opens a new one.
-func (p *Pool) acquire(ctx context.Context, needsFresh bool) (*conn, error) {
-	if c := p.acquireIdle(needsFresh); c != nil {
-		return c, nil
+// acquire returns a suitable idle connection or opens a new one. A request without
+// identity gets a new one, on which its response can't be mistaken.
+func (p *Pool) acquire(ctx context.Context, r *Request) (*conn, error) {
+	if p.options.IdentityHeader == "" || r.Header.Get(p.options.IdentityHeader) != "" {
+		if c := p.acquireIdle(r.NeedsFreshConn); c != nil {
+			return c, nil
+		}
 	}
 	return p.connect(ctx)
 }
