Announce a host while its instance is still being confirmed

Cause: since heartbeats wait for the answer to a probe, and the probe for the configuration, a new host wrote its row only after 2.5 s.

The record now names the instance with a closed gate until the probe is answered. A record with a closed gate therefore no longer says that the instance went away, and the next process probes such an instance unless it has left.

--- a/internal/proxy/adoption.go
+++ b/internal/proxy/adoption.go
@@ -78,6 +78,18 @@
 	return !known && !e.Draining && !n.hasLeft(e.ID, e.Born)
 }
 
+// holdReport keeps a heartbeat until its instance has answered a probe. Meanwhile the
+// host's record names the instance with a closed gate, so that hosts that start together
+// find each other without delay.
+func (n *Node) holdReport(s *step, e *InstanceReported) {
+	changed := n.unconfirmed == nil || n.unconfirmed.ID != e.ID || n.unconfirmed.Born != e.Born
+	n.unconfirmed = e
+	if changed && n.local.id == "" {
+		n.announceSelf(s)
+	}
+	n.confirmReport(s)
+}
+
 // confirmReport probes the instance of the heartbeat that is held back, once the
 // configuration names the path for it. An instance whose service has no health path is
 // taken at its word.
@@ -96,10 +108,9 @@
 }
 
 // adoptable reports whether this process may adopt an instance of an earlier process:
-// no instance is known yet, and the instance is of the host's service, its gate wasn't
-// closed and it hasn't left.
+// no instance is known yet, and the instance is of the host's service and hasn't left.
 func (n *Node) adoptable(i *MemberInstance) bool {
-	return n.local.id == "" && !i.Closed && !n.hasLeft(i.ID, i.Born) &&
+	return n.local.id == "" && !i.Left && !n.hasLeft(i.ID, i.Born) &&
 		(n.settings.Service == "" || i.Service == n.settings.Service)
 }
 
@@ -111,10 +122,8 @@
 	reported := report != nil && report.ID == e.ID
 	adopted := e.Serving && !reported && i != nil && i.ID == e.ID && n.adoptable(i)
 	s.log("instance.probed", "instance", string(e.ID), "serving", e.Serving, "reported", reported, "adopted", adopted)
-	if reported {
-		n.unconfirmed = nil // the next heartbeat leads to another probe
-	}
-	if reported && e.Serving {
+	if reported && e.Serving { // otherwise the next heartbeat leads to another probe
+		n.unconfirmed = nil
 		n.applyReport(s, report)
 	}
 	if !adopted {
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -215,8 +215,7 @@
 	case !n.mustConfirm(&e):
 		n.applyReport(s, &e)
 	case n.unconfirmed == nil || e.newer(n.unconfirmed):
-		n.unconfirmed = &e
-		n.confirmReport(s)
+		n.holdReport(s, &e)
 	}
 }
 
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -130,6 +130,12 @@
 func (n *Node) announceSelf(s *step) {
 	n.self.Sequence++
 	n.self.Instance = n.predecessor.leftInstance
+	if r := n.unconfirmed; r != nil {
+		n.self.Instance = &MemberInstance{
+			ID: r.ID, Service: r.Service, Version: r.Version, Slots: max(r.Slots, 1), Closed: true, Born: r.Born,
+			WarmUpMillis: max(r.WarmUp.Milliseconds(), 0),
+		}
+	}
 	if l := &n.local; l.id != "" {
 		n.self.Instance = &MemberInstance{
 			ID: l.id, Service: l.service, Version: l.version, Slots: l.slots, Closed: l.draining || l.left || l.down,
