Name the current service as the caller after a change of the settings

Cause: the header was filled from the settings of the start, beside the reducer, which takes over the changed service. The service is now part of the effect that forwards a call, as it was when the call arrived, so that a repeat names the same caller. No other request path reads the service of the start.

The new test does not compile before it: the effect had no caller.

--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -53,6 +53,7 @@
 	id          mesh.CallID
 	route       *catalog.Route
 	service     mesh.Service
+	caller      mesh.Service // the service of this host when the call arrived
 	arrived     mesh.Time
 	deadline    mesh.Time
 	targetAt    mesh.Time // time of the route's latency target
@@ -156,7 +157,7 @@
 		return
 	}
 	c := &call{
-		id: e.Call, route: route, service: n.destination(s, route), arrived: s.now,
+		id: e.Call, route: route, service: n.destination(s, route), caller: n.settings.Service, arrived: s.now,
 		fingerprint: e.Fingerprint, suspicion: check.Suspicion,
 	}
 	c.probeLimit = n.table.ProbeCount(s.now, s.random.Next(), c.service, probesBeforeQueue)
@@ -230,7 +231,7 @@
 		Call: c.id, Action: CallForward, Attempt: c.attempt, Host: m.Host, Addr: m.ForwardAddr,
 		Instance: choice.ID, Route: c.route.Name, Rank: c.route.Rank, Idempotent: c.route.Idempotent,
 		Deadline: c.deadline, TimeToTarget: c.targetAt.Sub(s.now), MayQueue: mayQueue, Suspicion: c.suspicion,
-		RepeatProbability: c.repeatProbability,
+		RepeatProbability: c.repeatProbability, Caller: c.caller,
 	}
 	if m.Host == n.settings.Host {
 		effect.Addr = "" // the gate of this host
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -246,6 +246,8 @@
 	TimeToTarget time.Duration
 	MayQueue     bool
 	Suspicion    poison.Suspicion
+	// Caller is the service of this host when the call arrived.
+	Caller mesh.Service
 	// RepeatProbability is the probability that the attempt, if it arrives at an instance,
 	// is a repeat. It is 1 if an earlier attempt has or may have reached an instance.
 	// Otherwise it is the probability that the request is a call made by a repeated run.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -217,6 +217,19 @@
 	return tn.step(e)
 }
 
+// Guards against requests that name the service of the start as their caller after the
+// settings have changed.
+func TestCallerIsTheServiceOfTheCurrentSettings(t *testing.T) {
+	is := is.New(t)
+	tn := newTestNode(t).withConfigAndMembers()
+	before := tn.call(1, "/read/1")
+	is.Equal(before.Caller, mesh.Service("s"))
+	tn.step(SettingsChanged{Service: "other"})
+	is.Equal(tn.call(2, "/read/1").Caller, mesh.Service("other"))
+	again := tn.endAttempt(before, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonOverload})
+	is.Equal(again.Caller, mesh.Service("s")) // the call arrived before the change
+}
+
 // Guards against a late heartbeat that revives an instance or replaces its successor.
 func TestLateHeartbeatsAreIgnored(t *testing.T) {
 	is := is.New(t)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -164,7 +164,7 @@
 		mayQueue: e.MayQueue, idempotent: e.Idempotent, fingerprint: r.fingerprint, suspicion: e.Suspicion, repeatProbability: e.RepeatProbability,
 	}
 	f.header = endToEndHeader(r.http.Header)
-	f.header.Set(n.headers.Caller, string(n.settings.Service))
+	f.header.Set(n.headers.Caller, string(e.Caller))
 	started := time.Now()
 	var a gateAnswer
 	if e.Addr == "" {
