Keep the bound of warm-up times and the probe in progress in one place each

Cause: found while the change was read again. The bound of an hour stood in two packages, and the name of the probed instance in the record of the previous process, although heartbeats of new instances are probed as well. Behaviour is unchanged; the tests of internal/proxy, internal/sidecar and the decoder pass.

--- a/internal/proxy/adoption.go
+++ b/internal/proxy/adoption.go
@@ -21,8 +21,6 @@
 type predecessor struct {
 	Member      // the newest record of a previous process
 	probed bool // a probe was sent to the instance named in a record
-	// probing is the instance whose probe is in progress, empty if there is none.
-	probing mesh.InstanceID
 	// leftInstance is the last instance that announced that it exits, nil if there is
 	// none.
 	leftInstance *MemberInstance
@@ -65,8 +63,8 @@
 
 // probe asks for a health probe unless one of the same instance is in progress.
 func (n *Node) probe(s *step, id mesh.InstanceID, path string) {
-	if n.predecessor.probing != id {
-		n.predecessor.probing = id
+	if n.probing != id {
+		n.probing = id
 		s.out.Probes = append(s.out.Probes, InstanceProbe{ID: id, Path: path})
 	}
 }
@@ -115,8 +113,8 @@
 }
 
 func (e InstanceProbed) apply(n *Node, s *step) {
-	if n.predecessor.probing == e.ID {
-		n.predecessor.probing = ""
+	if n.probing == e.ID {
+		n.probing = ""
 	}
 	i, report := n.predecessor.Instance, n.unconfirmed
 	reported := report != nil && report.ID == e.ID
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -57,8 +57,8 @@
 	// maxIncarnation bounds the incarnations of records from the store. A host raises its
 	// own above that of its latest record, which must not overflow.
 	maxIncarnation = mesh.Incarnation(math.MaxInt64 / 2)
-	// maxWarmUp bounds the time for which an instance may be slow after its start.
-	maxWarmUp = time.Hour
+	// MaxWarmUp bounds the time for which an instance may be slow after its start.
+	MaxWarmUp = time.Hour
 )
 
 // Valid reports whether a record from the store can have been written by a node.
@@ -67,7 +67,7 @@
 		return false
 	}
 	i := m.Instance
-	return i == nil || i.ID != "" && i.Slots > 0 && i.WarmUpMillis >= 0 && i.WarmUpMillis <= maxWarmUp.Milliseconds()
+	return i == nil || i.ID != "" && i.Slots > 0 && i.WarmUpMillis >= 0 && i.WarmUpMillis <= MaxWarmUp.Milliseconds()
 }
 
 // validAddr reports whether an address consists of a host and the number of a port.
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -73,6 +73,7 @@
 	// unconfirmed is the newest heartbeat of an instance that has not answered a probe yet,
 	// nil if there is none.
 	unconfirmed *InstanceReported
+	probing     mesh.InstanceID // instance whose probe is in progress, empty if there is none
 	// membersChanged causes the routing table to be rebuilt at the end of the step.
 	membersChanged bool
 
