Record that a new driver may complete a bad version without evidence

Three drivers in turn were cut off from the store; two had decided to roll back and could not write it, and the third one completed the version 0.5 s after it took over. A driver that takes over knows no evidence, and late in a roll-out a stage ends without any.

--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -309,3 +309,33 @@
 		}
 	}
 }
+
+// Guards against a driver that completes the roll-out of a bad version because it has taken
+// over late and the evidence, which was reported to its predecessors, has not reached it
+// yet.
+func TestNewDriverCompletesNothingWithoutEvidence(t *testing.T) {
+	is := is.New(t)
+	const takenOverAt, evidenceDelay = 12 * time.Second, time.Second
+	r := New("b")
+	order := Order{Service: "s", Target: "v2", Duration: duration, Revision: 10}
+	r.ApplyOrder(start, order)
+	stored := Row{Service: "s", Target: "v2", Order: 10, State: Running, Stage: 3, Driver: "a", Revision: 20}
+	r.ApplyRow(start.Add(takenOverAt-takeoverTimeout), stored)
+	slots := func(mesh.Service) Slots { return Slots{"v1": 63, "v2": 63} }
+	for at := takenOverAt; at < takenOverAt+2*evidenceDelay && !stored.State.Final(); at += tickStep {
+		if at >= takenOverAt+evidenceDelay {
+			for version, failures := range map[mesh.BackendVersion]uint32{"v1": 30, "v2": 300} {
+				r.Observe(Evidence{Service: "s", Version: version, Instance: mesh.InstanceID(version), Order: 10,
+					Routes: []RouteCount{{Route: "0", Answers: 1000, Failures: failures, Measured: 1000 - failures, Busy: time.Duration(1000-failures) * 90 * time.Millisecond}}})
+			}
+		}
+		for _, w := range r.Tick(start.Add(at), 0, slots, nil) {
+			is.Equal(w.Expect, stored.Revision)
+			stored = w.Row
+			stored.Revision = w.Expect + 1
+			r.ApplyRow(start.Add(at), stored)
+		}
+	}
+	is.Equal(stored.Driver, mesh.HostID("b"))
+	is.Equal(stored.State, RolledBack)
+}
