Require tenants' keys and state the tenant to instances

Change: the catalog holds tenants and hashes of their keys, the entry node refuses unknown keys with 401, drops the key and states the tenant, and the gate orders by the tenant's rank before the route's priority.

--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -42,6 +42,25 @@
 	return list
 }
 
+// Guards against a tenant with a lower priority whose request is served before that of a
+// tenant with a higher one because its route has a higher priority.
+func TestTenantRankGoesBeforeRoutePriority(t *testing.T) {
+	is := is.New(t)
+	g := newGate(1, 8)
+	arrive(g, 1, mesh.Normal, time.Second)
+	for id, rank := range []int{2: 1, 3: 0, 4: 1} {
+		if id < 2 {
+			continue
+		}
+		g.Arrive(start, Call{ID: mesh.CallID(id), Instance: inst, Priority: mesh.Priority(id - 2), TenantRank: rank, Deadline: start.Add(time.Second)}, nil)
+	}
+	running := mesh.CallID(1)
+	for _, next := range []mesh.CallID{3, 4, 2} {
+		is.Equal(decisions(g.Done(start, running, Finished, nil)), []decision{{Dispatch, next, 0}})
+		running = next
+	}
+}
+
 // Guards against a queue that ignores priority, deadline or order of arrival.
 func TestQueueOrder(t *testing.T) {
 	is := is.New(t)
--- a/internal/admission/instance.go
+++ b/internal/admission/instance.go
@@ -143,7 +143,7 @@
 }
 
 // compareCalls orders calls that are expected to meet their target before late
-// ones, then by priority, highest first, then by due time.
+// ones, then by the rank of the tenant, then by priority, highest first, then by due time.
 func compareCalls(a, b *call) int {
 	if a.late != b.late {
 		if b.late {
@@ -151,7 +151,7 @@
 		}
 		return 1
 	}
-	return cmp.Or(cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.due(), b.due()))
+	return cmp.Or(cmp.Compare(a.TenantRank, b.TenantRank), cmp.Compare(b.Priority, a.Priority), cmp.Compare(a.due(), b.due()))
 }
 
 // due returns the time by which a call should end: its target, or its deadline if
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -33,7 +33,9 @@
 	// ID is unique among the calls at this gate.
 	ID       mesh.CallID
 	Instance mesh.InstanceID
-	Priority mesh.Priority
+	// TenantRank is the rank of the tenant, zero for the highest. It goes before Priority.
+	TenantRank int
+	Priority   mesh.Priority
 	// Route selects the expected duration of the call. It may be empty.
 	Route mesh.Route
 	// Deadline is the time after which an answer is useless.
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -45,6 +45,8 @@
 	Rank int
 	// Destinations has at least one entry.
 	Destinations []Destination
+	// Public is set if the route's requests need no tenant's key.
+	Public bool
 }
 
 // Service is one set of interchangeable instances.
@@ -71,10 +73,13 @@
 	Services []Service
 	Limits   ClientLimits
 
-	byHost map[string]map[string]*Route // host, then prefix
+	Tenants []Tenant
+
+	byHost      map[string]map[string]*Route // host, then prefix
+	tenantByKey map[keyHash]*Tenant
 }
 
-// Build returns an indexed snapshot. It checks that the routes are well-formed and
+// Build returns an indexed snapshot without tenants. It checks that the routes are well-formed and
 // refer only to services of the snapshot. The error is of type ErrInvalid.
 func Build(version mesh.ConfigVersion, routes []Route, services []Service, limits ClientLimits) (*Snapshot, error) {
 	s := &Snapshot{Version: version, Routes: routes, Services: services, Limits: limits,
@@ -92,6 +97,20 @@
 	return s, nil
 }
 
+// WithTenants returns a copy of the snapshot in which requests on routes that are not
+// public need a key of one of the tenants. keys holds the keys of each tenant. If two
+// tenants have the same key, it belongs to the later one.
+func (s *Snapshot) WithTenants(tenants []Tenant, keys [][]string) *Snapshot {
+	out := *s
+	out.Tenants, out.tenantByKey = tenants, make(map[keyHash]*Tenant)
+	for i := range tenants {
+		for _, key := range keys[i] {
+			out.tenantByKey[hashKey(key)] = &tenants[i]
+		}
+	}
+	return &out
+}
+
 func checkRoute(r *Route, known map[mesh.Service]bool) error {
 	if r.Host == "" || !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
 		return ErrInvalid.New("route %s: host %q or prefix %q is malformed", r.Name, r.Host, r.Prefix)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -16,6 +16,8 @@
 	FailureDomain string
 	// Service names a set of interchangeable backend servers.
 	Service string
+	// Tenant names a customer whose requests carry one of the customer's keys.
+	Tenant string
 	// Class names a class of work with its own latency and success targets.
 	Class string
 	// Route names one rule that maps calls to a service and a class.
@@ -149,6 +151,8 @@
 	ReasonBadRequest
 	// ReasonRetryBudget means that the retry budget of the class is used up.
 	ReasonRetryBudget
+	// ReasonUnknownKey means that the request's key belongs to no tenant.
+	ReasonUnknownKey
 	reasonCount
 )
 
@@ -167,6 +171,7 @@
 	ReasonConnectionLost:   "connection-lost",
 	ReasonBadRequest:       "bad-request",
 	ReasonRetryBudget:      "retry-budget",
+	ReasonUnknownKey:       "unknown-key",
 }
 
 // String returns the reason as written in the Chicory-Reason header.
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -53,7 +53,8 @@
 	id          mesh.CallID
 	route       *catalog.Route
 	service     mesh.Service
-	caller      mesh.Service // the service of this host when the call arrived
+	caller      mesh.Service    // the service of this host when the call arrived
+	tenant      *catalog.Tenant // nil for a call without a key
 	arrived     mesh.Time
 	deadline    mesh.Time
 	targetAt    mesh.Time // time of the route's latency target
@@ -140,6 +141,12 @@
 		n.rejectNew(s, e.Call, mesh.ReasonNoRoute, 0)
 		return
 	}
+	tenant := n.config.TenantOf(e.Key)
+	if tenant == nil && n.config.RequiresKey(route) {
+		n.counters.UnknownKeys++
+		n.rejectNew(s, e.Call, mesh.ReasonUnknownKey, 0)
+		return
+	}
 	limit := callTimeLimit(e.Budget, route.Timeout)
 	if n.stopping && s.now.Add(limit) > n.stopDeadline {
 		// The call could not be answered before the process ends.
@@ -158,7 +165,7 @@
 	}
 	c := &call{
 		id: e.Call, route: route, service: n.destination(s, route), caller: n.settings.Service, arrived: s.now,
-		fingerprint: e.Fingerprint, suspicion: check.Suspicion,
+		fingerprint: e.Fingerprint, suspicion: check.Suspicion, tenant: tenant,
 	}
 	c.probeLimit = n.table.ProbeCount(s.now, s.random.Next(), c.service, probesBeforeQueue)
 	c.deadline = s.now.Add(limit)
@@ -236,6 +243,9 @@
 	if m.Host == n.settings.Host {
 		effect.Addr = "" // the gate of this host
 	}
+	if c.tenant != nil {
+		effect.Tenant, effect.TenantRank = c.tenant.Name, c.tenant.Rank
+	}
 	s.out.Calls = append(s.out.Calls, effect)
 }
 
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -21,6 +21,8 @@
 	Host        string
 	Path        string
 	Fingerprint mesh.Fingerprint
+	// Key is the key of a tenant that the request carries, empty for none.
+	Key string
 	// Budget is the time for which the client still waits. Zero means no limit. It is
 	// unrelated to the retry budget.
 	Budget time.Duration
@@ -63,6 +65,9 @@
 	Instance mesh.InstanceID
 	Route    mesh.Route
 	Rank     int
+	// Tenant is the tenant of the request, empty for none.
+	Tenant     mesh.Tenant
+	TenantRank int
 	// TimeLeft is the time until the client or the route gives up. TimeToTarget is the
 	// time until the route's latency target, negative if it has passed.
 	TimeLeft     time.Duration
@@ -248,6 +253,9 @@
 	Suspicion    poison.Suspicion
 	// Caller is the service of this host when the call arrived.
 	Caller mesh.Service
+	// Tenant is the tenant that holds the request's key, empty for a request without one.
+	Tenant     mesh.Tenant
+	TenantRank int
 	// RepeatProbability is the probability that the attempt, if it arrives at an instance,
 	// is a repeat. It is 1 if an earlier attempt has or may have reached an instance.
 	// Otherwise it is the probability that the request is a call made by a repeated run.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -81,7 +81,7 @@
 	}
 	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, suspicion: check.Suspicion, repeatProbability: e.RepeatProbability}
 	n.gateEffects = n.gate.Arrive(s.now, admission.Call{
-		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank),
+		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank), TenantRank: e.TenantRank,
 		Deadline: s.now.Add(e.TimeLeft), Target: s.now.Add(e.TimeToTarget),
 		Fingerprint: e.Fingerprint, Exclusive: check.Verdict == poison.Suspect,
 	}, n.gateEffects)
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -173,6 +173,7 @@
 	GateCalls, GateDispatched, GateRejected              uint64
 	GateRepeats                                          uint64 // dispatched requests that are certainly repeats
 	HostFailures, ConfigApplied                          uint64
+	UnknownKeys                                          uint64 // requests refused because no tenant holds their key
 	HeartbeatsAccepted, HeartbeatsIgnored, RolloutWrites uint64
 }
 
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -26,6 +26,7 @@
 	instance          mesh.InstanceID
 	route             mesh.Route
 	rank              int // priority of the route, zero is the highest
+	tenantRank        int // priority of the tenant, zero is the highest
 	deadline          mesh.Time
 	leftToTarget      time.Duration // time until the route's target latency is exceeded; negative if it is
 	mayQueue          bool          // the request may wait for a slot
@@ -153,7 +154,7 @@
 		n.mu.Unlock()
 	}()
 	n.step(proxy.GateArrived{
-		Call: id, Instance: f.instance, Route: f.route, Rank: f.rank, TimeLeft: f.deadline.Sub(n.now()), TimeToTarget: f.leftToTarget,
+		Call: id, Instance: f.instance, Route: f.route, Rank: f.rank, Tenant: mesh.Tenant(f.header.Get(n.headers.Tenant)), TenantRank: f.tenantRank, TimeLeft: f.deadline.Sub(n.now()), TimeToTarget: f.leftToTarget,
 		MayQueue: f.mayQueue, Fingerprint: f.fingerprint, Suspicion: f.suspicion, RepeatProbability: f.repeatProbability,
 	})
 	select {
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -24,8 +24,11 @@
 	headerRepeatProbability = "Chicory-Repeated"
 	// headerCleared holds the number of times that the request was cleared of crashes, in
 	// both directions. It is omitted if that is zero.
-	headerCleared  = "Chicory-Cleared"
-	fieldSeparator = ";"
+	headerCleared = "Chicory-Cleared"
+	// headerTenantRank holds the rank of the request's tenant. It is omitted if that is
+	// zero.
+	headerTenantRank = "Chicory-Tenant-Rank"
+	fieldSeparator   = ";"
 )
 
 // Number of fields of headerCall and headerResult.
@@ -85,6 +88,9 @@
 	if f.repeatProbability > 0 {
 		h.Set(headerRepeatProbability, strconv.FormatFloat(f.repeatProbability, 'g', 2, 64))
 	}
+	if f.tenantRank != 0 {
+		h.Set(headerTenantRank, strconv.Itoa(f.tenantRank))
+	}
 	setCleared(h, f.suspicion)
 }
 
@@ -109,7 +115,7 @@
 		instance: mesh.InstanceID(fields[0]), route: mesh.Route(fields[1]), rank: rank,
 		deadline: now.Add(time.Duration(leftMillis) * time.Millisecond), leftToTarget: time.Duration(targetMillis) * time.Millisecond,
 		mayQueue: mayQueue, idempotent: idempotent, fingerprint: mesh.Fingerprint(fingerprint), suspicion: poison.Suspicion{Crashes: uint8(crashes), Cleared: parseCleared(r.Header)},
-		repeatProbability: parseProbability(r.Header.Get(headerRepeatProbability)),
+		repeatProbability: parseProbability(r.Header.Get(headerRepeatProbability)), tenantRank: parseRank(r.Header.Get(headerTenantRank)),
 	}, true
 }
 
@@ -128,6 +134,15 @@
 	return uint32(v)
 }
 
+// parseRank parses a rank. It returns zero for a missing or malformed value.
+func parseRank(text string) int {
+	v, err := strconv.ParseUint(text, 10, 31)
+	if err != nil {
+		return 0
+	}
+	return int(v)
+}
+
 // parseProbability parses a probability. It returns zero for any other text.
 func parseProbability(text string) float64 {
 	v, err := strconv.ParseFloat(text, 64)
--- a/internal/sidecar/headers_test.go
+++ b/internal/sidecar/headers_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -19,7 +20,7 @@
 	is := is.New(t)
 	in := forwardedRequest{
 		instance: "i-1", route: "r", rank: 2, deadline: testNow.Add(time.Second), leftToTarget: -20 * time.Millisecond,
-		mayQueue: true, fingerprint: 1 << 63, suspicion: poison.Suspicion{Crashes: 1, Cleared: 3}, repeatProbability: 0.25,
+		mayQueue: true, fingerprint: 1 << 63, suspicion: poison.Suspicion{Crashes: 1, Cleared: 3}, repeatProbability: 0.25, tenantRank: 2,
 	}
 	r := httptest.NewRequest(http.MethodGet, "/x?y=1", nil)
 	in.encode(r.Header, testNow)
@@ -85,3 +86,17 @@
 		}
 	})
 }
+
+// Guards against a key that leaves the entry node, and against a client that names its own
+// tenant.
+func TestTenantIsStatedByTheEntryNode(t *testing.T) {
+	is := is.New(t)
+	n, err := New(Settings{Host: "a"}, namedHeaders{}, NewLog(io.Discard))
+	is.NoErr(err)
+	for tenant, want := range map[mesh.Tenant]http.Header{"one": {"X-Tenant": {"one"}}, "": {}} {
+		h := http.Header{"X-Key": {"secret", "second"}, "X-Tenant": {"forged"}}
+		n.setTenant(h, tenant)
+		is.Equal(h, want)
+	}
+	is.Equal(rejectStatus(mesh.NotRun, mesh.ReasonUnknownKey), http.StatusUnauthorized)
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -65,7 +65,7 @@
 	}()
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	n.step(proxy.CallArrived{
-		Call: req.id, Host: r.Host, Path: path, Fingerprint: req.fingerprint, Budget: parseMillis(r.Header.Get(n.headers.DeadlineMillis)),
+		Call: req.id, Host: r.Host, Path: path, Fingerprint: req.fingerprint, Budget: parseMillis(r.Header.Get(n.headers.DeadlineMillis)), Key: r.Header.Get(n.headers.Key),
 	})
 	outcome := req.run(w)
 	n.metrics.recordCall(outcome, time.Since(began))
@@ -160,11 +160,12 @@
 	defer timer.Stop()
 	f := forwardedRequest{
 		method: r.http.Method, target: r.http.RequestURI, host: r.http.Host, body: r.body,
-		instance: e.Instance, route: e.Route, rank: e.Rank, deadline: e.Deadline, leftToTarget: e.TimeToTarget,
+		instance: e.Instance, route: e.Route, rank: e.Rank, tenantRank: e.TenantRank, deadline: e.Deadline, leftToTarget: e.TimeToTarget,
 		mayQueue: e.MayQueue, idempotent: e.Idempotent, fingerprint: r.fingerprint, suspicion: e.Suspicion, repeatProbability: e.RepeatProbability,
 	}
 	f.header = endToEndHeader(r.http.Header)
 	f.header.Set(n.headers.Caller, string(e.Caller))
+	n.setTenant(f.header, e.Tenant)
 	started := time.Now()
 	var a gateAnswer
 	if e.Addr == "" {
@@ -182,6 +183,16 @@
 	})
 }
 
+// setTenant states the tenant to the instance and removes the key, which must not leave
+// the entry node. The client's own statement of a tenant is dropped.
+func (n *Node) setTenant(h http.Header, tenant mesh.Tenant) {
+	h.Del(n.headers.Key)
+	h.Del(n.headers.Tenant)
+	if tenant != "" {
+		h.Set(n.headers.Tenant, string(tenant))
+	}
+}
+
 // wallTime converts a time of the reducer to a time.Time.
 func (n *Node) wallTime(t mesh.Time) time.Time { return n.started.Add(t.Sub(n.startTime)) }
 
@@ -232,6 +243,8 @@
 		return http.StatusBadGateway
 	case reason == mesh.ReasonNoRoute:
 		return http.StatusNotFound
+	case reason == mesh.ReasonUnknownKey:
+		return http.StatusUnauthorized
 	}
 	return http.StatusServiceUnavailable
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -111,6 +111,7 @@
 	{"chicory.config.changes", "{version}", "Configuration versions applied.", func(c *proxy.Counters) uint64 { return c.ConfigApplied }},
 	{"chicory.heartbeats", "{heartbeat}", "Heartbeats of the instance.", func(c *proxy.Counters) uint64 { return c.HeartbeatsAccepted }},
 	{"chicory.heartbeats.ignored", "{heartbeat}", "Heartbeats that were late or named no instance of the host.", func(c *proxy.Counters) uint64 { return c.HeartbeatsIgnored }},
+	{"chicory.keys.unknown", "{call}", "Requests refused because no tenant holds their key.", func(c *proxy.Counters) uint64 { return c.UnknownKeys }},
 	{"chicory.rollout.writes", "{row}", "Rows of roll-outs written by this node.", func(c *proxy.Counters) uint64 { return c.RolloutWrites }},
 }
 
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -96,6 +96,11 @@
 	RetryAfter string
 	// Instance is the name of the instance that answers a health check.
 	Instance string
+	// Key holds the key of a tenant. It is removed from requests before they are
+	// forwarded.
+	Key string
+	// Tenant is the tenant that holds the request's key, as stated to the instance.
+	Tenant string
 }
 
 // ControlCall is a call to the node by the instance on its host: a heartbeat (Report)
