Require evidence of a new driver before it advances a roll-out

Change: a stage starts over for a new driver, also for a new process of the same host. It ends only if gates that hold half of the target's slots have reported within the last 2 s, and at least 300 ms after the takeover, and if no unconfirmed fault shows. The relaxed minimum still applies to reports that show few answers. Gates report unchanged counts every 600 ms, and to a new driver at once, so that a lack of traffic differs from a lack of contact. A driver without reports doesn't renew its row, so that another host takes over. A late roll-out shortens its remaining stages: a takeover at 11.3 s of 15 s otherwise missed the deadline at 40 requests a second.

Ruled out: requiring reports of all gates, because a single lost host would then stop a roll-out.

The simulated gates now report to the driver only.

--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -39,16 +39,26 @@
 }
 
 // reportEvidence sends the counts of the local instance to the driver of its
-// service's roll-out.
+// service's roll-out. It also sends unchanged counts, to a new driver at once: a driver
+// that gets no reports can't tell a lack of traffic from a lack of contact.
 func (n *Node) reportEvidence(s *step) {
 	l := &n.local
 	driver, order, ok := n.rollouts.EvidenceDriver(l.service)
-	if !ok || !l.countsUnreported || l.countsOrder != order || s.now.Sub(l.evidenceReportedAt) < evidenceInterval {
+	if !ok {
 		return
 	}
-	l.evidenceReportedAt, l.countsUnreported = s.now, false
+	l.beginCounts(order)
+	interval := maxEvidenceInterval
+	if l.countsUnreported {
+		interval = evidenceInterval
+	}
+	if driver == l.evidenceReportedTo && s.now.Sub(l.evidenceReportedAt) < interval {
+		return
+	}
+	l.evidenceReportedAt, l.evidenceReportedTo, l.countsUnreported = s.now, driver, false
 	e := rollout.Evidence{
 		Host: n.settings.Host, Incarnation: n.self.Incarnation, Service: l.service, Version: l.version, Instance: l.id, Order: order,
+		Slots: int(l.slots),
 	}
 	for _, name := range slices.SortedFunc(maps.Keys(l.routeCounts), cmp.Compare[mesh.Route]) {
 		e.Routes = append(e.Routes, *l.routeCounts[name])
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -19,6 +19,8 @@
 	// evidenceInterval is the shortest time between two reports of evidence, the counts
 	// of the instance's answers, from a gate to the driver of a roll-out.
 	evidenceInterval = 300 * time.Millisecond
+	// maxEvidenceInterval replaces evidenceInterval while the counts don't change.
+	maxEvidenceInterval = 600 * time.Millisecond
 	// maxClockDifference bounds by how much the instance's time of day may be ahead of this
 	// process's, which is that of its start.
 	maxClockDifference = time.Hour
@@ -57,6 +59,7 @@
 	countsOrder        uint64
 	countsUnreported   bool
 	evidenceReportedAt mesh.Time
+	evidenceReportedTo mesh.HostID
 }
 
 func (e GateArrived) apply(n *Node, s *step) {
@@ -295,6 +298,13 @@
 	n.announceSelf(s)
 }
 
+// beginCounts starts the counts for an order, unless they are for this order already.
+func (l *localInstance) beginCounts(order uint64) {
+	if l.countsOrder != order {
+		l.routeCounts, l.countsOrder = make(map[mesh.Route]*rollout.RouteCount), order
+	}
+}
+
 // countEvidence adds the result of a request to the evidence about the version of the
 // instance, if a roll-out of its service is running.
 func (n *Node) countEvidence(s *step, c *gateCall, e GateDone) {
@@ -306,9 +316,7 @@
 	if order == 0 {
 		return
 	}
-	if l.countsOrder != order {
-		l.routeCounts, l.countsOrder = make(map[mesh.Route]*rollout.RouteCount), order
-	}
+	l.beginCounts(order)
 	r := l.routeCounts[c.route]
 	if r == nil {
 		r = &rollout.RouteCount{Route: c.route}
--- a/internal/rollout/reducer.go
+++ b/internal/rollout/reducer.go
@@ -44,11 +44,12 @@
 	// rewriteInterval is the time after which a write that has not shown up as a
 	// stored row is repeated.
 	rewriteInterval = time.Second
-	// minCanaryAnswers is the number of answers of the new version needed to leave
-	// the first stage before relaxAfterFraction.
+	// minCanaryAnswers is the number of answers of the new version that a driver needs
+	// to know of to end a stage before relaxAfterFraction.
 	minCanaryAnswers = 20
 	// relaxAfterFraction is the fraction of the duration after which a roll-out
-	// proceeds without the usual minimum of evidence and capacity.
+	// proceeds without the usual minimum of answers and capacity, provided that the
+	// gates report.
 	relaxAfterFraction = 0.66
 	// recentWindow is the interval between two copies of the evidence. The versions
 	// are compared over the last one to two of these intervals, provided that the old
@@ -60,6 +61,9 @@
 	// faultConfirmTime is the time for which a fault has to persist before a
 	// roll-back: which version gets the first failures of a disturbance is chance.
 	faultConfirmTime = 250 * time.Millisecond
+	// endMargin is the time before the deadline at which a roll-out that is late should
+	// end. Each change of the stage takes a write and the time until it is seen.
+	endMargin = 500 * time.Millisecond
 	// capacityFraction is the number of slots that the new version needs before a
 	// stage beyond the first, as a fraction of the old version's slots times the
 	// stage's share.
@@ -81,6 +85,10 @@
 	// of row is then that of the invalid one.
 	restoreRow bool
 	evidence   map[mesh.InstanceID]Evidence
+	// reportedAt holds the times of the latest reports in evidence.
+	reportedAt map[mesh.InstanceID]mesh.Time
+	// drivingSince is the time at which this process became the driver.
+	drivingSince mesh.Time
 	// atStageStart is the evidence at stageStartedAt.
 	atStageStart map[mesh.InstanceID]Evidence
 	// lastEvidence is a copy of the evidence as of lastEvidenceAt, at most about one
@@ -96,6 +104,7 @@
 type Reducer struct {
 	host     mesh.HostID
 	rollouts map[mesh.Service]*serviceRollout
+	tickedAt mesh.Time // time of the latest Tick
 }
 
 // New returns a Reducer without any roll-out.
@@ -106,7 +115,7 @@
 func (r *Reducer) rolloutOf(s mesh.Service) *serviceRollout {
 	ro := r.rollouts[s]
 	if ro == nil {
-		ro = &serviceRollout{evidence: make(map[mesh.InstanceID]Evidence)}
+		ro = &serviceRollout{evidence: make(map[mesh.InstanceID]Evidence), reportedAt: make(map[mesh.InstanceID]mesh.Time)}
 		r.rollouts[s] = ro
 	}
 	return ro
@@ -120,7 +129,7 @@
 		return false
 	}
 	ro.order, ro.orderedAt = o, now
-	ro.evidence = make(map[mesh.InstanceID]Evidence)
+	ro.evidence, ro.reportedAt = make(map[mesh.InstanceID]Evidence), make(map[mesh.InstanceID]mesh.Time)
 	ro.rowChangedAt = now
 	return true
 }
@@ -139,35 +148,17 @@
 		return false
 	}
 	if row.Stage != ro.row.Stage || row.Order != ro.row.Order {
-		ro.stageStartedAt, ro.atStageStart = now, maps.Clone(ro.evidence)
+		ro.restartStage(now)
+	}
+	if row.Driver == r.host && (ro.row.Driver != r.host || row.Order != ro.row.Order) {
+		// A takeover, or a row that an earlier process of this host has written.
+		ro.drivingSince = now
+		ro.restartStage(now)
 	}
 	ro.row, ro.rowChangedAt = row, now
 	return true
 }
 
-// Observe applies the counts that a gate has reported for an instance. Counts only
-// grow within an incarnation of the host, so a report with fewer answers than the
-// known one is older and ignored.
-func (r *Reducer) Observe(e Evidence) {
-	ro := r.rollouts[e.Service]
-	if ro == nil || e.Order != ro.order.Revision {
-		return
-	}
-	old, ok := ro.evidence[e.Instance]
-	if ok && old.Incarnation == e.Incarnation && totalAnswers(e) < totalAnswers(old) {
-		return
-	}
-	e.Routes = slices.Clone(e.Routes) // the caller goes on counting, and the copies of the evidence must not change
-	ro.evidence[e.Instance] = e
-}
-
-func totalAnswers(e Evidence) (n uint32) {
-	for _, r := range e.Routes {
-		n += r.Answers
-	}
-	return n
-}
-
 // Plan states which versions of a service may be used and how requests are split.
 type Plan struct {
 	// Ordered is set once a roll-out of the service has been ordered.
@@ -236,6 +227,7 @@
 // Tick advances all roll-outs and appends the rows to be stored to out. rank is the
 // index of this host among the live hosts; hosts of higher rank act later.
 func (r *Reducer) Tick(now mesh.Time, rank int, slots func(mesh.Service) Slots, out []Write) []Write {
+	r.tickedAt = now
 	for _, service := range slices.SortedFunc(maps.Keys(r.rollouts), cmp.Compare[mesh.Service]) {
 		ro := r.rollouts[service]
 		if row, ok := r.nextRow(now, ro, rank, slots(service)); ok {
@@ -275,14 +267,16 @@
 		row.State, row.Reason = RolledBack, reason
 		return row, true
 	}
-	if ro.stageEnded(now, slots) {
+	evident := ro.hasEvidence(now, slots)
+	if evident && ro.faultSince == 0 && ro.stageEnded(now, slots) {
 		row.Stage++
 		if row.Stage == len(stages) {
 			row.Stage, row.State = len(stages)-1, Completed
 		}
 		return row, true
 	}
-	return row, now.Sub(ro.rowChangedAt) >= heartbeatInterval
+	// A driver that gets no reports doesn't renew the row, so that another host takes over.
+	return row, now.Sub(ro.rowChangedAt) >= heartbeatInterval && (evident || slots[ro.order.Target] == 0)
 }
 
 // firstRow returns the first row of the latest order. A version that was rolled back
@@ -366,26 +360,33 @@
 // stageEnded reports whether the current stage has lasted long enough and the new
 // version has the evidence and the capacity for the next stage's share.
 func (ro *serviceRollout) stageEnded(now mesh.Time, slots Slots) bool {
-	elapsed := float64(now.Sub(ro.orderedAt)) / float64(max(ro.order.Duration, time.Second))
-	if now.Sub(ro.stageStartedAt) < stages[ro.row.Stage].minTime || elapsed < stages[ro.row.Stage].untilFraction || slots[ro.order.Target] == 0 {
+	duration := max(ro.order.Duration, time.Second)
+	elapsed := float64(now.Sub(ro.orderedAt)) / float64(duration)
+	if now.Sub(ro.stageStartedAt) < ro.minStageTime(duration) || elapsed < stages[ro.row.Stage].untilFraction || slots[ro.order.Target] == 0 {
 		return false
 	}
 	if elapsed >= relaxAfterFraction {
 		return true
 	}
-	if ro.row.Stage == 0 && ro.canaryAnswers() < minCanaryAnswers {
+	if ro.canaryAnswers() < minCanaryAnswers {
 		return false
 	}
 	return ro.row.Stage+1 >= len(stages) || ro.hasCapacity(slots, stages[ro.row.Stage+1].share)
 }
 
-func (ro *serviceRollout) canaryAnswers() (n uint32) {
-	for _, e := range ro.evidence {
-		if e.Version == ro.order.Target {
-			n += totalAnswers(e)
-		}
-	}
-	return n
+// minStageTime returns the least time that the current stage lasts. A roll-out that is late,
+// for example because of a takeover, shortens the stages that are left to end in time.
+func (ro *serviceRollout) minStageTime(duration time.Duration) time.Duration {
+	left := ro.orderedAt.Add(duration).Sub(ro.stageStartedAt) - endMargin
+	var needed time.Duration
+	for _, s := range stages[ro.row.Stage:] {
+		needed += s.minTime
+	}
+	usual := stages[ro.row.Stage].minTime
+	if left >= needed {
+		return usual
+	}
+	return max(time.Duration(float64(usual)*float64(left)/float64(needed)), faultConfirmTime)
 }
 
 // hasCapacity reports whether the new version has enough slots for a share.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -63,7 +63,9 @@
 				continue
 			}
 			for _, e := range evidence {
-				h.Observe(*e)
+				if stored.Driver == h.host { // gates report to no other host
+					h.Observe(*e)
+				}
 			}
 			for _, w := range h.Tick(now, rank, slots, nil) {
 				if w.Expect != stored.Revision {
@@ -115,6 +117,39 @@
 	}
 }
 
+// Guards against a good version that misses its deadline because the driver is killed, at
+// whatever time and so in any stage, and its successor has to collect the evidence anew.
+func TestGoodVersionCompletesWhenItsDriverIsKilled(t *testing.T) {
+	is := is.New(t)
+	for _, rate := range []int{40, 400} {
+		for killedAt := 100 * time.Millisecond; killedAt < 11*time.Second; killedAt += 200 * time.Millisecond {
+			final, at, _ := simulate(t, uint64(killedAt), rate, healthy, killedAt)
+			is.Equal(final.State, Completed)
+			is.True(at < duration)
+		}
+	}
+}
+
+// Guards against a driver that completes a version while its reports are lost: they would
+// show whether the version is faulty. Its row must expire, so that another host drives.
+func TestDriverWithoutReportsStopsDriving(t *testing.T) {
+	is := is.New(t)
+	slots := func(mesh.Service) Slots { return Slots{"v1": 63, "v2": 63} }
+	r := New("a")
+	r.ApplyOrder(start, Order{Service: "s", Target: "v2", Duration: duration, Revision: 10})
+	r.ApplyRow(start, Row{Service: "s", Target: "v2", Order: 10, State: Running, Stage: 3, Driver: "a", Revision: 20})
+	report := func(slots int) {
+		r.Observe(Evidence{Service: "s", Version: "v2", Instance: "i", Order: 10, Slots: slots, Routes: []RouteCount{{Route: "r", Answers: 500}}})
+	}
+	at := start.Add(12 * time.Second)
+	r.Tick(at, 0, slots, nil)
+	report(9) // one gate of seven
+	is.Equal(len(r.Tick(at.Add(time.Second), 0, slots, nil)), 0)
+	report(36)
+	is.Equal(r.Tick(at.Add(time.Second), 0, slots, nil)[0].Row.Stage, 4)
+	is.Equal(len(r.Tick(at.Add(time.Second+maxEvidenceAge+tickStep), 0, slots, nil)), 0)
+}
+
 // Guards against bad versions that complete, or that receive more than the tolerated
 // 10% of the requests, for example because they get requests long after their fault
 // has shown.
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -101,7 +101,9 @@
 	Version     mesh.BackendVersion
 	Instance    mesh.InstanceID
 	Order       uint64
-	Routes      []RouteCount
+	// Slots is the number of slots of the instance.
+	Slots  int
+	Routes []RouteCount
 }
 
 // routeCount returns the counts of a route. A linear search does, as there are few
