Order revisions by the era of the store, and reread its tables after a change

Cause: a store that goes back to an older state assigns versions again, so that versions before and after can't be compared, and rows that nodes know are gone or older.

A replica that enters an era drops the rows that the new state lacks. Rows of operators that are missing stay in force for 10 s, and peers pass them on to processes that were started since. The roll-out reducer recognises orders that were written again and restores rows of a later state.

Ruled out: tombstones for missing rows, as they would hide rows that the new state still gets with smaller versions.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -3,10 +3,6 @@
 // services over HTTP, and package platform/standin simulates them in development.
 package platform
 
-// Revision numbers the writes of one row, starting at 1. Zero stands for a
-// row that does not exist.
-type Revision uint64
-
 // Row is one row of the table.
 type Row struct {
 	Key      string
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -83,6 +83,10 @@
 		"order", e.Order.Revision, "duration_ms", e.Order.Duration.Milliseconds())
 }
 
+func (e RolloutMissing) apply(n *Node, s *step) {
+	n.rollouts.RowMissing(s.now, e.Service, e.Era)
+}
+
 func (e RolloutSeen) apply(n *Node, s *step) {
 	if !n.rollouts.ApplyRow(s.now, e.Row) {
 		return
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
 )
@@ -164,6 +165,13 @@
 // OrderSeen carries an operator's order to move a service to another version.
 type OrderSeen struct{ Order rollout.Order }
 
+// RolloutMissing states that the store, which has gone back to an older state, lacks the
+// row of a service's roll-out.
+type RolloutMissing struct {
+	Service mesh.Service
+	Era     platform.Era
+}
+
 // RolloutSeen carries the shared state of a roll-out, as stored in its row.
 type RolloutSeen struct{ Row rollout.Row }
 
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -6,6 +6,7 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/admission"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
 )
@@ -56,7 +57,7 @@
 	// order has the revision countsOrder. countsUnreported is set when counts were added
 	// since the last report to its driver.
 	routeCounts        map[mesh.Route]*rollout.RouteCount
-	countsOrder        uint64
+	countsOrder        platform.Revision
 	countsUnreported   bool
 	evidenceReportedAt mesh.Time
 	evidenceReportedTo mesh.HostID
@@ -299,7 +300,7 @@
 }
 
 // beginCounts starts the counts for an order, unless they are for this order already.
-func (l *localInstance) beginCounts(order uint64) {
+func (l *localInstance) beginCounts(order platform.Revision) {
 	if l.countsOrder != order {
 		l.routeCounts, l.countsOrder = make(map[mesh.Route]*rollout.RouteCount), order
 	}
--- a/internal/rollout/reducer.go
+++ b/internal/rollout/reducer.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/routing"
 )
 
@@ -76,13 +77,15 @@
 // serviceRollout is the latest roll-out of one service, as known to this host.
 type serviceRollout struct {
 	order          Order
-	orderedAt      mesh.Time // time at which this host learned of the order
+	previousOrder  Order             // the order before
+	orderSeen      platform.Revision // latest revision of the row of order
+	orderedAt      mesh.Time         // time at which this host learned of the order
 	row            Row
 	stageStartedAt mesh.Time // time at which this host saw the row's stage begin
 	rowChangedAt   mesh.Time // time at which this host last saw the row or the order change
 	rowWrittenAt   mesh.Time // time of this host's latest write of the row
-	// restoreRow is set while the store has an invalid row in place of row. The revision
-	// of row is then that of the invalid one.
+	// restoreRow is set while the store has an invalid or outdated row, or none, in place
+	// of row. The revision of row is then that of the stored one.
 	restoreRow bool
 	evidence   map[mesh.InstanceID]Evidence
 	// reportedAt holds the times of the latest reports in evidence.
@@ -105,6 +108,8 @@
 	host     mesh.HostID
 	rollouts map[mesh.Service]*serviceRollout
 	tickedAt mesh.Time // time of the latest Tick
+	era      platform.Era
+	eraSince mesh.Time // time at which this process learned of the era
 }
 
 // New returns a Reducer without any roll-out.
@@ -121,28 +126,35 @@
 	return ro
 }
 
-// ApplyOrder applies an operator's order. It reports whether the order is newer than the
-// known one.
+// ApplyOrder applies an operator's order. It reports whether the order is a new one.
 func (r *Reducer) ApplyOrder(now mesh.Time, o Order) bool {
+	r.enterEra(now, o.Revision.Era())
 	ro := r.rolloutOf(o.Service)
-	if o.Revision <= ro.order.Revision {
+	if o.Revision <= max(ro.order.Revision, ro.orderSeen) {
 		return false
 	}
-	ro.order, ro.orderedAt = o, now
+	repeated := r.repeatsOrder(now, ro, &o) || ro.revivesOrder(&o)
+	ro.orderSeen = o.Revision
+	if repeated {
+		return false
+	}
+	ro.previousOrder, ro.order, ro.orderedAt = ro.order, o, now
+	ro.adoptOrder()
 	ro.evidence, ro.reportedAt = make(map[mesh.InstanceID]Evidence), make(map[mesh.InstanceID]mesh.Time)
 	ro.rowChangedAt = now
 	return true
 }
 
 // ApplyRow applies the stored row of a roll-out. It reports whether the row is newer
-// than the known one. An invalid row, which another writer has stored, changes nothing
-// but the revision that a write has to expect.
+// than the known one. An invalid row, which another writer has stored, or a row of an
+// earlier state changes nothing but the revision that a write has to expect.
 func (r *Reducer) ApplyRow(now mesh.Time, row Row) bool {
+	r.enterEra(now, row.Revision.Era())
 	ro := r.rolloutOf(row.Service)
 	if row.Revision <= ro.row.Revision {
 		return false
 	}
-	ro.restoreRow = !row.valid()
+	ro.restoreRow = !row.valid() || r.outdates(now, ro, &row)
 	if ro.restoreRow {
 		ro.row.Revision, ro.rowChangedAt = row.Revision, now
 		return false
@@ -156,6 +168,7 @@
 		ro.restartStage(now)
 	}
 	ro.row, ro.rowChangedAt = row, now
+	ro.adoptOrder()
 	return true
 }
 
@@ -198,7 +211,7 @@
 // EvidenceDriver returns the driver of the service's running roll-out, to which gates
 // report their counts, and the revision of its order. ok is false if no roll-out is
 // running.
-func (r *Reducer) EvidenceDriver(s mesh.Service) (driver mesh.HostID, order uint64, ok bool) {
+func (r *Reducer) EvidenceDriver(s mesh.Service) (driver mesh.HostID, order platform.Revision, ok bool) {
 	ro := r.rollouts[s]
 	if ro == nil || ro.order.Revision == 0 || ro.row.Order != ro.order.Revision || ro.row.State.Final() {
 		return "", 0, false
@@ -217,7 +230,7 @@
 }
 
 // OrderRevision returns the revision of the service's latest order, zero for none.
-func (r *Reducer) OrderRevision(s mesh.Service) uint64 {
+func (r *Reducer) OrderRevision(s mesh.Service) platform.Revision {
 	if ro := r.rollouts[s]; ro != nil {
 		return ro.order.Revision
 	}
@@ -232,7 +245,7 @@
 		ro := r.rollouts[service]
 		if row, ok := r.nextRow(now, ro, rank, slots(service)); ok {
 			ro.rowWrittenAt = now
-			out = append(out, Write{Row: row, Expect: ro.row.Revision})
+			out = append(out, Write{Row: row, Expect: max(ro.row.Revision, platform.NewRevision(r.era, 0))})
 		}
 	}
 	return out
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/routing"
 )
 
@@ -46,7 +47,7 @@
 	}
 	slots := func(mesh.Service) Slots { return Slots{"v1": 63, "v2": 63} }
 	var stored Row
-	revision := uint64(10)
+	revision := platform.Revision(10)
 	evidence := make(map[string]*Evidence)
 	for at = 0; at < duration; at += tickStep {
 		now := start.Add(at)
@@ -210,7 +211,7 @@
 	writes := r.Tick(start.Add(takeoverTimeout+rankDelay), 1, slots, nil)
 	is.Equal(len(writes), 1)
 	is.Equal(string(writes[0].Row.Driver), "b")
-	is.Equal(writes[0].Expect, uint64(11))
+	is.Equal(writes[0].Expect, platform.Revision(11))
 }
 
 // Guards against a version that was rolled back and serves again during the next
@@ -336,7 +337,7 @@
 			is.Equal(r.Plan("s"), plan)
 			writes := r.Tick(start.Add(time.Second), 0, slots, nil)
 			is.Equal(len(writes), 1)
-			is.Equal(writes[0].Expect, uint64(21))
+			is.Equal(writes[0].Expect, platform.Revision(21))
 			is.Equal(writes[0].Row.State, state)
 			known.Revision = 22
 			r.ApplyRow(start.Add(time.Second), known)
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 )
 
 // Order is an operator's request to roll out a version of a service.
@@ -16,8 +17,10 @@
 	Target  mesh.BackendVersion
 	// Duration is the time within which the roll-out has to end.
 	Duration time.Duration
-	// Revision identifies the order: it is the store's revision of the order's row.
-	Revision uint64
+	// Revision identifies the order: it is the revision of the order's row when the row
+	// was first written. An operator who rewrites the row in a later era of the store
+	// repeats the order.
+	Revision platform.Revision
 }
 
 // State is the state of a roll-out.
@@ -51,8 +54,8 @@
 	Service mesh.Service        `json:"service"`
 	Target  mesh.BackendVersion `json:"target"`
 	// Order is the revision of the operator's order.
-	Order uint64 `json:"order"`
-	State State  `json:"state"`
+	Order platform.Revision `json:"order"`
+	State State             `json:"state"`
 	// Stage is the index of the current stage while the roll-out runs.
 	Stage int `json:"stage"`
 	// Driver is the host that advances the roll-out. It increments Beat with every
@@ -62,9 +65,9 @@
 	// Withdrawn lists the versions of earlier roll-outs that were rolled back.
 	Withdrawn []mesh.BackendVersion `json:"withdrawn,omitempty"`
 	Reason    string                `json:"reason,omitempty"`
-	// Revision is the store's revision of the row, zero for a row that is not
-	// stored yet.
-	Revision uint64 `json:"-"`
+	// Revision is the store's revision of the row. Its version is zero for a row that
+	// is not stored.
+	Revision platform.Revision `json:"-"`
 }
 
 // valid reports whether a stored row can have been written by a node.
@@ -76,7 +79,7 @@
 // Write is an effect: store Row if the stored row still has the revision Expect.
 type Write struct {
 	Row    Row
-	Expect uint64
+	Expect platform.Revision
 }
 
 // RouteCount counts the answers of one instance on one route.
@@ -100,7 +103,7 @@
 	Service     mesh.Service
 	Version     mesh.BackendVersion
 	Instance    mesh.InstanceID
-	Order       uint64
+	Order       platform.Revision
 	// Slots is the number of slots of the instance.
 	Slots  int
 	Routes []RouteCount
--- /dev/null
+++ b/internal/sidecar/era.go
@@ -0,0 +1,203 @@
+package sidecar
+
+import (
+	"context"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
+	"github.com/chicoryscale/chicoryscale/internal/proxy"
+)
+
+// missingRowRetention is the time for which an operator's row that the store has lost by
+// going back to an older state stays in force. The operator writes it again meanwhile.
+const missingRowRetention = 10 * time.Second
+
+// lostRows are the operator's rows that were in force before the store went back to an
+// older state, and that this state lacks.
+type lostRows struct {
+	mu    sync.Mutex
+	rows  map[string]Change // by key
+	until time.Time         // end of missingRowRetention
+}
+
+// add adds rows unless others of their keys are present, and returns those added.
+func (l *lostRows) add(rows []Change, until time.Time) []Change {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var added []Change
+	for _, c := range rows {
+		if _, ok := l.rows[c.Key]; ok {
+			continue
+		}
+		if l.rows == nil {
+			l.rows = make(map[string]Change)
+		}
+		l.rows[c.Key] = c
+		added = append(added, c)
+	}
+	if len(added) > 0 {
+		l.until = until
+	}
+	return added
+}
+
+// list returns the rows, sorted by key, and the time for which they stay in force.
+func (l *lostRows) list(now time.Time) ([]Change, time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var rows []Change
+	for _, key := range slices.Sorted(maps.Keys(l.rows)) {
+		rows = append(rows, l.rows[key])
+	}
+	return rows, l.until.Sub(now)
+}
+
+// replace replaces all rows.
+func (l *lostRows) replace(rows []Change) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	clear(l.rows)
+	for _, c := range rows {
+		l.rows[c.Key] = c
+	}
+}
+
+// digest returns a hash of the keys and revisions of rows, zero for none.
+func digest(rows []Change) uint64 {
+	if len(rows) == 0 {
+		return 0
+	}
+	h := fnv.New64a()
+	for _, c := range rows {
+		_, _ = h.Write([]byte(c.Key + "\x00" + strconv.FormatUint(uint64(c.Revision), 10) + "\x00")) // never fails
+	}
+	return h.Sum64()
+}
+
+// applyState applies the complete state of the selected rows of a table. If the state is
+// of a later era than the replica, the store has gone back to an older state, and selected
+// rows of earlier eras count as removed if the state lacks them. It returns false if the
+// state is of an earlier era than the replica.
+func (n *Node) applyState(t Table, state []Change, revision platform.Revision, selected func(key string) bool) bool {
+	before, applied, lost, ok := n.replicas[t].applyState(state, revision, selected)
+	if !ok {
+		return false
+	}
+	if t == TableOperator {
+		n.lostRows.add(n.stillInForce(lost), time.Now().Add(missingRowRetention))
+	}
+	n.deliver(t, applied)
+	if revision.Era() > before.Era() {
+		n.log.Event("store.era_changed", "table", int(t), "era", int(revision.Era()), "before", before, "revision", revision, "rows", len(state), "lost", len(lost))
+		n.eraChanged.wake()
+	}
+	if t != TableShared {
+		return true
+	}
+	for _, c := range lost {
+		if service, ok := strings.CutPrefix(c.Key, rolloutPrefix); ok && n.replicas[t].row(c.Key).Revision.Version() == 0 {
+			n.step(proxy.RolloutMissing{Service: mesh.Service(service), Era: revision.Era()})
+		}
+	}
+	// Members whose rows are missing stay members as long as they are reachable. Each
+	// writes its own row again.
+	signal(n.announceDue)
+	return true
+}
+
+// stillInForce selects, of the operator's rows that the store has lost or that it has in
+// another form, those that stay in force: the missing ones, and a configuration that the
+// store has in an older version.
+func (n *Node) stillInForce(lost []Change) []Change {
+	return slices.DeleteFunc(lost, func(c Change) bool {
+		current := n.replicas[TableOperator].row(c.Key)
+		if c.Deleted || current.Revision.Version() == 0 {
+			return c.Deleted
+		}
+		old, err := n.platform.DecodeOperatorRow(c.Row)
+		if err != nil || old.Configuration == nil {
+			return true
+		}
+		row, err := n.platform.DecodeOperatorRow(current)
+		return err == nil && row.Configuration != nil && row.Configuration.Version >= old.Configuration.Version
+	})
+}
+
+// applyDelta applies the changes of the selected rows that a peer has sent. Those of a
+// later era than the replica's are the complete state, as no row of it is older.
+func (n *Node) applyDelta(t Table, changes []Change, revision platform.Revision, selected func(key string) bool) {
+	if revision.Era() > n.replicas[t].completeRevision().Era() {
+		n.applyState(t, changes, revision, selected)
+		return
+	}
+	n.applyChanges(t, changes, revision)
+}
+
+// packLostRows fills in the lost rows of the reply to a digest.
+func (n *Node) packLostRows(known uint64, out *News) error {
+	rows, left := n.lostRows.list(time.Now())
+	if digest(rows) == known || left <= 0 {
+		return nil
+	}
+	out.Lost, out.LostFor = out.Lost[:0], left // Await fills in the same reply again
+	for _, c := range rows {
+		p, err := pack(c)
+		if err != nil {
+			return err
+		}
+		out.Lost = append(out.Lost, p)
+	}
+	return nil
+}
+
+// applyLostRows applies the rows that a peer keeps in force. A process that was started
+// after the change of the era learns of them only in this way.
+func (n *Node) applyLostRows(rows []Change, left time.Duration) {
+	if left > 0 {
+		n.deliver(TableOperator, n.lostRows.add(n.stillInForce(rows), time.Now().Add(min(left, missingRowRetention))))
+	}
+}
+
+// expireLostRows drops the rows that the operator has written again, and after
+// missingRowRetention all others, of which the missing ones count as removed.
+func (n *Node) expireLostRows() {
+	rows, left := n.lostRows.list(time.Now())
+	if len(rows) == 0 {
+		return
+	}
+	rows = n.stillInForce(rows)
+	if left > 0 {
+		n.lostRows.replace(rows)
+		return
+	}
+	n.lostRows.replace(nil)
+	for _, c := range rows {
+		if n.replicas[TableOperator].row(c.Key).Revision.Version() == 0 {
+			n.log.Event("operator.row_lost", "key", c.Key, "revision", c.Revision)
+			n.deliver(TableOperator, []Change{{Row: c.Row, Deleted: true}})
+		}
+	}
+}
+
+// pauseSharedReads pauses between two reads of the shared rows, but not if the operator's
+// rows show that the store has changed its era meanwhile.
+func (n *Node) pauseSharedReads(ctx context.Context) {
+	changed := n.eraChanged.wait()
+	if n.replicas[TableOperator].completeRevision().Era() > n.replicas[TableShared].completeRevision().Era() {
+		return
+	}
+	timer := time.NewTimer(n.sharedRowsPause())
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-timer.C:
+	}
+}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -50,6 +50,9 @@
 	// TableOperator and TableShared have all changes.
 	Operator platform.Revision
 	Shared   platform.Revision
+	// Lost is the digest of the operator's rows that the store has lost and that are
+	// still in force.
+	Lost uint64
 }
 
 // News is a peer's reply to a digest: what the sender of the digest lacks.
@@ -72,6 +75,10 @@
 	// tables have all changes.
 	OperatorAt platform.Revision
 	SharedAt   platform.Revision
+	// Lost holds the operator's rows that the store has lost and that stay in force for
+	// the time LostFor, if the digest names others.
+	Lost    []Packed
+	LostFor time.Duration
 	// Poison lists the requests that crash instances.
 	Poison []poison.Entry
 	// Loaded is set if the peer has read both tables, so that its rows are complete.
@@ -108,6 +115,9 @@
 	if out.Operator, out.OperatorAt, err = n.replicas[TableOperator].changesSince(d.Operator, allRows); err != nil {
 		return members, err
 	}
+	if err = n.packLostRows(d.Lost, out); err != nil {
+		return members, err
+	}
 	out.Shared, out.SharedAt, err = n.replicas[TableShared].changesSince(d.Shared, rowsForPeer(d.Self.Host))
 	return members, err
 }
@@ -244,6 +254,8 @@
 func (p *peerSet) requestDelta(host mesh.HostID, addr, method string, timeout time.Duration) (delta News, err error) {
 	n := p.node
 	d := Digest{Operator: n.replicas[TableOperator].completeRevision(), Shared: n.replicas[TableShared].completeRevision()}
+	lost, _ := n.lostRows.list(time.Now())
+	d.Lost = digest(lost)
 	n.inspect(func(r *proxy.Node) { d.Self, d.Members, d.ByRow = r.Self(), r.MembersDigest(), r.HasRowOnlyHosts() })
 	if err := p.call(addr, method, d, &delta, timeout); err != nil {
 		return delta, err
@@ -261,8 +273,13 @@
 	if err != nil {
 		return delta, err
 	}
-	n.applyChanges(TableOperator, operator, delta.OperatorAt)
-	n.applyChanges(TableShared, shared, delta.SharedAt)
+	lost, err = unpackAll(delta.Lost)
+	if err != nil {
+		return delta, err
+	}
+	n.applyDelta(TableOperator, operator, delta.OperatorAt, allRows)
+	n.applyDelta(TableShared, shared, delta.SharedAt, rowsForPeer(n.settings.Host))
+	n.applyLostRows(lost, delta.LostFor)
 	if delta.Loaded {
 		n.replicas[TableOperator].setLoaded()
 		n.replicas[TableShared].setLoaded()
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -54,18 +54,22 @@
 }
 
 // Store is the platform's transactional table store. One counter provides the
-// revisions of the rows of all tables.
+// revisions of the rows of all tables. If the store goes back to an older state, the era
+// of its revisions rises.
 type Store interface {
 	// Rows returns all rows of a table and the revision up to which they include all
 	// changes.
 	Rows(ctx context.Context, t Table) ([]platform.Row, platform.Revision, error)
 	// Changes returns the changes after a revision and the revision up to which they
 	// include all changes. If there are none, it waits for the given time. It fails with
-	// ErrHistoryLost if the store no longer keeps some of the changes.
+	// ErrHistoryLost if the store no longer keeps some of the changes, or if it is in
+	// another era than the revision.
 	Changes(ctx context.Context, t Table, after platform.Revision, wait time.Duration) ([]Change, platform.Revision, error)
 	// Commit writes all rows if the checked row of TableShared has the expected
-	// revision. It returns the new revision. If it fails with ErrConflict, it returns
-	// the current row, whose revision is zero if the row doesn't exist.
+	// revision, whose version is zero if the row must not exist. It returns the new
+	// revision. If it fails with ErrConflict, it returns the current row, whose version is
+	// zero if the row doesn't exist, or no row if the expected revision is of an earlier
+	// era.
 	Commit(ctx context.Context, check platform.Check, writes []Write) (platform.Revision, platform.Row, error)
 }
 
--- a/internal/sidecar/publish.go
+++ b/internal/sidecar/publish.go
@@ -67,7 +67,7 @@
 	var self, written proxy.Member
 	n.inspect(func(r *proxy.Node) { self = r.Self() })
 	row := n.replicas[TableShared].row(memberPrefix + string(self.Host))
-	if row.Revision == 0 || json.Unmarshal(row.Value, &written) != nil {
+	if row.Revision.Version() == 0 || json.Unmarshal(row.Value, &written) != nil {
 		return true
 	}
 	return self.ForwardAddr != written.ForwardAddr || self.PeerAddr != written.PeerAddr || self.Domain != written.Domain ||
@@ -109,7 +109,7 @@
 // applyWrittenRow applies a row to the replica of TableShared: the one just written, or
 // the one that a conflicting write returned.
 func (n *Node) applyWrittenRow(row platform.Row) {
-	if row.Revision > 0 {
+	if row.Revision.Version() > 0 {
 		n.applyChanges(TableShared, []Change{{Row: row}}, 0)
 	}
 }
@@ -152,7 +152,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
 	n.ioCounters.storeWrites.Add(1)
-	revision, current, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: platform.Revision(w.Expect)},
+	revision, current, err := n.platform.Commit(ctx, platform.Check{Key: key, Revision: w.Expect},
 		[]Write{{Table: TableShared, Put: platform.Put{Key: key, Value: value}}, {Table: TableStatus, Put: status}})
 	switch {
 	case err == nil:
@@ -167,7 +167,7 @@
 func (n *Node) removeRow(ctx context.Context, host mesh.HostID) {
 	key := memberPrefix + string(host)
 	known := n.replicas[TableShared].row(key)
-	if known.Revision == 0 {
+	if known.Revision.Version() == 0 {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
--- a/internal/sidecar/replica.go
+++ b/internal/sidecar/replica.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -29,9 +30,13 @@
 func (r *replica) apply(changes []Change, revision platform.Revision) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.applyLocked(changes, revision)
+}
+
+func (r *replica) applyLocked(changes []Change, revision platform.Revision) []Change {
 	var applied []Change
 	for _, c := range changes {
-		if old, ok := r.rows[c.Key]; ok && old.Revision >= c.Revision {
+		if old, ok := r.rows[c.Key]; ok && old.Revision >= c.Revision || c.Revision.Era() < r.revision.Era() {
 			continue
 		}
 		r.rows[c.Key] = c
@@ -42,7 +47,40 @@
 	return applied
 }
 
-// changesSince returns the changes after a revision to the selected rows, and the revision
+// applyState applies the complete state of the selected rows. It returns the copy's earlier
+// revision, the changes that were newer than the copy's rows, and the selected rows of
+// earlier eras that the state lacks, which are removed, or has with another value. ok is
+// false if the state itself is of an earlier era.
+func (r *replica) applyState(state []Change, revision platform.Revision, selected func(key string) bool) (before platform.Revision, applied, lost []Change, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before = r.revision
+	if revision.Era() < before.Era() {
+		return before, nil, nil, false
+	}
+	values := make(map[string][]byte, len(state))
+	for _, c := range state {
+		if !c.Deleted {
+			values[c.Key] = c.Value
+		}
+	}
+	for key, c := range r.rows {
+		if c.Revision.Era() >= revision.Era() || !selected(key) {
+			continue
+		}
+		value, found := values[key]
+		if !found {
+			delete(r.rows, key)
+			delete(r.packed, key)
+		}
+		if !found || !bytes.Equal(value, c.Value) {
+			lost = append(lost, c)
+		}
+	}
+	return before, r.applyLocked(state, revision), lost, true
+}
+
+// changesSince returns the changes after a revision to the selected rows of the copy's era, and the revision
 // up to which the copy has all changes.
 func (r *replica) changesSince(after platform.Revision, selected func(key string) bool) ([]Packed, platform.Revision, error) {
 	r.mu.Lock()
@@ -52,7 +90,7 @@
 	}
 	var out []Packed
 	for key, c := range r.rows {
-		if c.Revision <= after || !selected(key) {
+		if c.Revision <= after || c.Revision.Era() < r.revision.Era() || !selected(key) {
 			continue
 		}
 		p, ok := r.packed[key]
@@ -88,12 +126,13 @@
 	return r.revision
 }
 
-// row returns the row of a key. Its revision is zero if it doesn't exist.
+// row returns the row of a key. If it doesn't exist in the copy's era, the version of its
+// revision is zero.
 func (r *replica) row(key string) platform.Row {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c, ok := r.rows[key]; ok && !c.Deleted {
+	if c, ok := r.rows[key]; ok && !c.Deleted && c.Revision.Era() >= r.revision.Era() {
 		return c.Row
 	}
-	return platform.Row{Key: key}
+	return platform.Row{Key: key, Revision: platform.NewRevision(r.revision.Era(), 0)}
 }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -60,6 +60,9 @@
 	rolloutWrites chan rolloutWrite
 	// stateChanged wakes the long polls of the nodes that follow this one.
 	stateChanged broadcast
+	lostRows     lostRows
+	// eraChanged wakes the reader of the shared rows.
+	eraChanged broadcast
 	// following is set while this node follows a reader.
 	following atomic.Bool
 	// foundHostsAt is the time, in ns since the start, at which a full read of the
@@ -253,6 +256,7 @@
 func (n *Node) startLoops(ctx context.Context) {
 	go n.runEvery(ctx, tickInterval, func() { n.step(proxy.Tick{}) })
 	go n.runEvery(ctx, trimInterval, n.trimPools)
+	go n.runEvery(ctx, trimInterval, n.expireLostRows)
 	go n.syncTable(ctx, TableOperator)
 	go n.syncTable(ctx, TableShared)
 	go n.followReader(ctx)
--- a/internal/sidecar/tablesync.go
+++ b/internal/sidecar/tablesync.go
@@ -93,7 +93,7 @@
 		}
 		if errorx.IsOfType(err, ErrHistoryLost) {
 			incomplete = true
-			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", uint64(after))
+			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", after)
 			continue
 		}
 		incomplete = incomplete && err != nil
@@ -109,7 +109,7 @@
 		}
 		backoff = storeBackoff
 		if t == TableShared {
-			pause(ctx, n.sharedRowsPause())
+			n.pauseSharedReads(ctx)
 		}
 	}
 }
@@ -193,7 +193,9 @@
 	for _, r := range rows {
 		changes = append(changes, Change{Row: r})
 	}
-	n.applyChanges(t, changes, revision)
+	if !n.applyState(t, changes, revision, allRows) {
+		return 0, ErrStore.New("the store answered with era %d after a later one", revision.Era())
+	}
 	n.replicas[t].setLoaded()
 	alone := true
 	n.inspect(func(r *proxy.Node) { alone = r.Alone() })
@@ -220,7 +222,11 @@
 // applyChanges applies changes to the replica of a table. Those that are newer than the
 // replica's rows are passed on to the reducer.
 func (n *Node) applyChanges(t Table, changes []Change, revision platform.Revision) {
-	applied := n.replicas[t].apply(changes, revision)
+	n.deliver(t, n.replicas[t].apply(changes, revision))
+}
+
+// deliver passes changes of a table on to the reducer.
+func (n *Node) deliver(t Table, applied []Change) {
 	if len(applied) > 0 {
 		defer n.stateChanged.wake()
 	}
@@ -240,7 +246,7 @@
 	row, err := n.platform.DecodeOperatorRow(c.Row)
 	switch {
 	case err != nil:
-		n.log.Line(time.Now(), "operator.row_unreadable", "key", c.Key, "revision", uint64(c.Revision), "error", err.Error())
+		n.log.Line(time.Now(), "operator.row_unreadable", "key", c.Key, "revision", c.Revision, "error", err.Error())
 	case row.Configuration != nil:
 		n.step(proxy.ConfigurationSeen{Snapshot: row.Configuration})
 	case row.Order != nil:
@@ -262,7 +268,7 @@
 		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "error", errorText(err))
 		row = rollout.Row{Service: mesh.Service(service)} // invalid; the driver replaces it
 	}
-	row.Revision = uint64(c.Revision)
+	row.Revision = c.Revision
 	n.step(proxy.RolloutSeen{Row: row})
 }
 
