Let the soak play a store that goes back, together with kills

A seed may now contain the fault rewind: the store is down, comes back in the state of 6 s ago with the next era, and the operator writes again what was lost, while one or two processes are killed. The draws follow all others, so that the other events of a seed stay as they are.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -22,6 +22,8 @@
 	// faults are over.
 	minRecoveryShare = 0.9
 	restartPause     = 300 * time.Millisecond
+	// rewindAge is the age of the copy from which the store comes back.
+	rewindAge = 6 * time.Second
 	// maxExposureShare and exposureSlack limit the requests that a bad version may
 	// run: this share of all requests plus exposureSlack.
 	maxExposureShare = 0.1
@@ -149,6 +151,8 @@
 		d.store.SetFaults(standin.StoreFaults{})
 	case KindCompact:
 		d.store.Compact()
+	case KindRewind:
+		d.rewindStore(ctx, end)
 	case KindInstance:
 		h.instance.SetFaults(instanceFaults(e.Mode))
 		sleepUntil(ctx, end)
@@ -162,6 +166,17 @@
 	}
 }
 
+// rewindStore lets the store go back by rewindAge after it was down. At the given time the
+// operator writes again what was lost.
+func (d *deployment) rewindStore(ctx context.Context, end time.Time) {
+	d.store.SetFaults(standin.StoreFaults{Down: true})
+	sleepUntil(ctx, time.Now().Add(time.Until(end)/2))
+	lost := d.store.Rewind(rewindAge)
+	d.store.SetFaults(standin.StoreFaults{})
+	sleepUntil(ctx, end)
+	d.store.Rewrite(lost)
+}
+
 func storeDelay(k Kind) time.Duration {
 	if k == KindStoreSlow {
 		return 300 * time.Millisecond
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -20,6 +20,7 @@
 	KindStoreSlow  Kind = "store_slow"  // the store delays all answers
 	KindStoreLost  Kind = "store_lost"  // the store performs writes but drops their answers
 	KindCompact    Kind = "compact"     // the store discards its history
+	KindRewind     Kind = "rewind"      // the store is down and comes back in an older state
 	KindInstance   Kind = "instance"    // an instance is slow, fails requests, or drops or truncates answers
 	KindCrash      Kind = "crash"       // an instance stops and is started again
 	KindConfig     Kind = "config"      // a new configuration is written
@@ -79,6 +80,15 @@
 	if r.IntN(2) == 0 {
 		events = append(events, Event{At: settleTime + time.Duration(r.Int64N(int64(settleTime))), Kind: KindRolloutBad, For: 12 * time.Second})
 	}
+	// These draws come last, so that the other events of a seed stay as they are.
+	if r.IntN(2) == 0 {
+		at := settleTime + time.Duration(r.Int64N(int64(max(length-3*settleTime, time.Second))))
+		events = append(events, Event{At: at, Kind: KindRewind, For: time.Second + time.Duration(r.Int64N(int64(2*time.Second)))})
+		for range 1 + r.IntN(2) {
+			after := time.Duration(r.Int64N(int64(4 * time.Second)))
+			events = append(events, Event{At: at + after, Kind: KindKill, Host: r.IntN(hosts), For: time.Second})
+		}
+	}
 	slices.SortStableFunc(events, func(a, b Event) int { return int(a.At - b.At) })
 	return events
 }
