Describe the eras of the store, and export the era as a metric

A node that has learned of an era from a peer now reads the whole table once it reads the store: peers send only some of the shared rows, so that it would not find the rows of hosts that are gone.

--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -150,6 +150,10 @@
 	if err != nil {
 		return fmt.Errorf("register metric chicory.config.version: %w", err)
 	}
+	storeEra, err := meter.Int64ObservableGauge("chicory.store.era", metric.WithDescription("Era of the store, which rises when the store goes back to an older state."))
+	if err != nil {
+		return fmt.Errorf("register metric chicory.store.era: %w", err)
+	}
 	var ioTotals []metric.Int64Observable
 	for _, t := range ioCounterSpecs {
 		instrument, err := meter.Int64ObservableCounter(t.name, metric.WithUnit(t.unit), metric.WithDescription(t.help))
@@ -171,11 +175,12 @@
 			o.ObserveInt64(counters[i], int64(spec.value(&c)))
 		}
 		o.ObserveInt64(configVersion, v)
+		o.ObserveInt64(storeEra, int64(max(n.replicas[TableOperator].completeRevision(), n.replicas[TableShared].completeRevision()).Era()))
 		for i, spec := range ioCounterSpecs {
 			o.ObserveInt64(ioTotals[i], spec.value(n))
 		}
 		return nil
-	}, append(instruments, configVersion)...)
+	}, append(instruments, configVersion, storeEra)...)
 	if err != nil {
 		return fmt.Errorf("register the callback that reads the counters: %w", err)
 	}
--- a/internal/sidecar/tablesync.go
+++ b/internal/sidecar/tablesync.go
@@ -74,6 +74,8 @@
 	// rows. alive is set while calls to the store about the table succeed.
 	alive, incomplete := false, false
 	backoff := storeBackoff
+	// after is the revision up to which this node has read the table itself. If the era of
+	// the replica is later, the replica got it from a peer, which sends only some rows.
 	var after platform.Revision
 	for ctx.Err() == nil {
 		if !n.shouldRead(t) {
@@ -86,7 +88,7 @@
 			continue
 		}
 		var err error
-		if incomplete || !n.replicas[t].isLoaded() {
+		if incomplete || !n.replicas[t].isLoaded() || n.replicas[t].completeRevision().Era() > after.Era() {
 			after, err = n.loadTable(ctx, t)
 		} else {
 			after, err = n.pollChanges(ctx, t, max(after, n.replicas[t].completeRevision()), wait)
