Report missing shared rows to the node, and don't announce a host early

The load of the shared rows at the start ended the wait for the instance's first heartbeat, so that hosts would have written their rows twice. Found by reading; no test showed it.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -98,18 +98,28 @@
 		n.log.Event("store.era_changed", "table", int(t), "era", int(revision.Era()), "before", before, "revision", revision, "rows", len(state), "lost", len(lost))
 		n.eraChanged.wake()
 	}
-	if t != TableShared {
-		return true
+	if t == TableShared {
+		n.applyMissingRows(lost, revision.Era())
+		if before != 0 && revision.Era() > before.Era() {
+			signal(n.announceDue)
+		}
 	}
+	return true
+}
+
+// applyMissingRows passes on which of the lost shared rows are missing. Members whose rows
+// are missing stay members as long as they are reachable. Each writes its own row again.
+func (n *Node) applyMissingRows(lost []Change, era platform.Era) {
 	for _, c := range lost {
-		if service, ok := strings.CutPrefix(c.Key, rolloutPrefix); ok && n.replicas[t].row(c.Key).Revision.Version() == 0 {
-			n.step(proxy.RolloutMissing{Service: mesh.Service(service), Era: revision.Era()})
+		if n.replicas[TableShared].row(c.Key).Revision.Version() > 0 || strings.HasPrefix(c.Key, memberPrefix) {
+			continue
+		}
+		if service, ok := strings.CutPrefix(c.Key, rolloutPrefix); ok {
+			n.step(proxy.RolloutMissing{Service: mesh.Service(service), Era: era})
+			continue
 		}
+		n.applySharedRow(Change{Row: platform.Row{Key: c.Key, Revision: platform.NewRevision(era, 0)}, Deleted: true})
 	}
-	// Members whose rows are missing stay members as long as they are reachable. Each
-	// writes its own row again.
-	signal(n.announceDue)
-	return true
 }
 
 // stillInForce selects, of the operator's rows that the store has lost or that it has in
--- a/internal/sidecar/era_test.go
+++ b/internal/sidecar/era_test.go
@@ -103,7 +103,10 @@
 	// Another writer's row is found by the conflict, with a smaller version than the state.
 	n.applyWrittenRow(memberChange("a", 1, 3).Row)
 	is.Equal(n.replicas[TableShared].row(memberPrefix+"a").Revision, platform.NewRevision(1, 3))
-	is.True(!n.applyState(TableShared, nil, 20, allRows)) // a delayed answer of the earlier era
+	// Delayed answers of the earlier era change nothing.
+	is.True(!n.applyState(TableShared, nil, 20, allRows))
+	n.applyChanges(TableShared, []Change{memberChange("gone", 0, 99)}, 99)
+	n.inspect(func(r *proxy.Node) { is.Equal(len(r.Members()), 2) })
 }
 
 // Guards against a follower that was cut off while the store went back: its rows, whose
@@ -123,6 +126,7 @@
 	for _, c := range old { // also those that a reader doesn't send to followers
 		is.Equal(follower.replicas[TableShared].row(c.Key).Revision, platform.NewRevision(1, 0))
 	}
+	is.Equal(len(follower.replicas[TableShared].rows), 2) // "other", and the row of x for a full read to settle
 	for _, host := range []string{"x", "started"} {
 		packed, _, err := follower.replicas[TableShared].changesSince(0, rowsForPeer(mesh.HostID(host)))
 		is.NoErr(err)
