Keep the newest of several lost versions of an operator's row

Two changes of the era within 10 s could otherwise keep the older one in force. Found by reading. Measured: the tests of platform, proxy and sidecar pass with the race detector.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -27,13 +27,13 @@
 	until time.Time         // end of missingRowRetention
 }
 
-// add adds rows unless others of their keys are present, and returns those added.
+// add adds rows unless newer ones of their keys are present, and returns those added.
 func (l *lostRows) add(rows []Change, until time.Time) []Change {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var added []Change
 	for _, c := range rows {
-		if _, ok := l.rows[c.Key]; ok {
+		if old, ok := l.rows[c.Key]; ok && old.Revision >= c.Revision {
 			continue
 		}
 		if l.rows == nil {
