--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -6,6 +6,7 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/admission"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
 )
@@ -19,6 +20,8 @@
 	// evidenceInterval is the shortest time between two reports of evidence, the counts
 	// of the instance's answers, from a gate to the driver of a roll-out.
 	evidenceInterval = 300 * time.Millisecond
+	// maxEvidenceInterval replaces evidenceInterval while the counts don't change.
+	maxEvidenceInterval = 600 * time.Millisecond
 	// maxClockDifference bounds by how much the instance's time of day may be ahead of this
 	// process's, which is that of its start.
 	maxClockDifference = time.Hour
@@ -54,9 +57,10 @@
 	// order has the revision countsOrder. countsUnreported is set when counts were added
 	// since the last report to its driver.
 	routeCounts        map[mesh.Route]*rollout.RouteCount
-	countsOrder        uint64
+	countsOrder        platform.Revision
 	countsUnreported   bool
 	evidenceReportedAt mesh.Time
+	evidenceReportedTo mesh.HostID
 }
 
 func (e GateArrived) apply(n *Node, s *step) {
@@ -295,6 +299,13 @@
 	n.announceSelf(s)
 }
 
+// beginCounts starts the counts for an order, unless they are for this order already.
+func (l *localInstance) beginCounts(order platform.Revision) {
+	if l.countsOrder != order {
+		l.routeCounts, l.countsOrder = make(map[mesh.Route]*rollout.RouteCount), order
+	}
+}
+
 // countEvidence adds the result of a request to the evidence about the version of the
 // instance, if a roll-out of its service is running.
 func (n *Node) countEvidence(s *step, c *gateCall, e GateDone) {
@@ -306,9 +317,7 @@
 	if order == 0 {
 		return
 	}
-	if l.countsOrder != order {
-		l.routeCounts, l.countsOrder = make(map[mesh.Route]*rollout.RouteCount), order
-	}
+	l.beginCounts(order)
 	r := l.routeCounts[c.route]
 	if r == nil {
 		r = &rollout.RouteCount{Route: c.route}
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/routing"
 )
 
@@ -46,7 +47,7 @@
 	}
 	slots := func(mesh.Service) Slots { return Slots{"v1": 63, "v2": 63} }
 	var stored Row
-	revision := uint64(10)
+	revision := platform.Revision(10)
 	evidence := make(map[string]*Evidence)
 	for at = 0; at < duration; at += tickStep {
 		now := start.Add(at)
@@ -63,7 +64,9 @@
 				continue
 			}
 			for _, e := range evidence {
-				h.Observe(*e)
+				if stored.Driver == h.host { // gates report to no other host
+					h.Observe(*e)
+				}
 			}
 			for _, w := range h.Tick(now, rank, slots, nil) {
 				if w.Expect != stored.Revision {
@@ -115,6 +118,39 @@
 	}
 }
 
+// Guards against a good version that misses its deadline because the driver is killed, at
+// whatever time and so in any stage, and its successor has to collect the evidence anew.
+func TestGoodVersionCompletesWhenItsDriverIsKilled(t *testing.T) {
+	is := is.New(t)
+	for _, rate := range []int{40, 400} {
+		for killedAt := 100 * time.Millisecond; killedAt < 11*time.Second; killedAt += 200 * time.Millisecond {
+			final, at, _ := simulate(t, uint64(killedAt), rate, healthy, killedAt)
+			is.Equal(final.State, Completed)
+			is.True(at < duration)
+		}
+	}
+}
+
+// Guards against a driver that completes a version while its reports are lost: they would
+// show whether the version is faulty. Its row must expire, so that another host drives.
+func TestDriverWithoutReportsStopsDriving(t *testing.T) {
+	is := is.New(t)
+	slots := func(mesh.Service) Slots { return Slots{"v1": 63, "v2": 63} }
+	r := New("a")
+	r.ApplyOrder(start, Order{Service: "s", Target: "v2", Duration: duration, Revision: 10})
+	r.ApplyRow(start, Row{Service: "s", Target: "v2", Order: 10, State: Running, Stage: 3, Driver: "a", Revision: 20})
+	report := func(slots int) {
+		r.Observe(Evidence{Service: "s", Version: "v2", Instance: "i", Order: 10, Slots: slots, Routes: []RouteCount{{Route: "r", Answers: 500}}})
+	}
+	at := start.Add(12 * time.Second)
+	r.Tick(at, 0, slots, nil)
+	report(9) // one gate of seven
+	is.Equal(len(r.Tick(at.Add(time.Second), 0, slots, nil)), 0)
+	report(36)
+	is.Equal(r.Tick(at.Add(time.Second), 0, slots, nil)[0].Row.Stage, 4)
+	is.Equal(len(r.Tick(at.Add(time.Second+maxEvidenceAge+tickStep), 0, slots, nil)), 0)
+}
+
 // Guards against bad versions that complete, or that receive more than the tolerated
 // 10% of the requests, for example because they get requests long after their fault
 // has shown.
@@ -175,7 +211,7 @@
 	writes := r.Tick(start.Add(takeoverTimeout+rankDelay), 1, slots, nil)
 	is.Equal(len(writes), 1)
 	is.Equal(string(writes[0].Row.Driver), "b")
-	is.Equal(writes[0].Expect, uint64(11))
+	is.Equal(writes[0].Expect, platform.Revision(11))
 }
 
 // Guards against a version that was rolled back and serves again during the next
@@ -301,7 +337,7 @@
 			is.Equal(r.Plan("s"), plan)
 			writes := r.Tick(start.Add(time.Second), 0, slots, nil)
 			is.Equal(len(writes), 1)
-			is.Equal(writes[0].Expect, uint64(21))
+			is.Equal(writes[0].Expect, platform.Revision(21))
 			is.Equal(writes[0].Row.State, state)
 			known.Revision = 22
 			r.ApplyRow(start.Add(time.Second), known)
--- a/internal/sidecar/tablesync.go
+++ b/internal/sidecar/tablesync.go
@@ -74,6 +74,8 @@
 	// rows. alive is set while calls to the store about the table succeed.
 	alive, incomplete := false, false
 	backoff := storeBackoff
+	// after is the revision up to which this node has read the table itself. If the era of
+	// the replica is later, the replica got it from a peer, which sends only some rows.
 	var after platform.Revision
 	for ctx.Err() == nil {
 		if !n.shouldRead(t) {
@@ -86,14 +88,14 @@
 			continue
 		}
 		var err error
-		if incomplete || !n.replicas[t].isLoaded() {
+		if incomplete || !n.replicas[t].isLoaded() || n.replicas[t].completeRevision().Era() > after.Era() {
 			after, err = n.loadTable(ctx, t)
 		} else {
 			after, err = n.pollChanges(ctx, t, max(after, n.replicas[t].completeRevision()), wait)
 		}
 		if errorx.IsOfType(err, ErrHistoryLost) {
 			incomplete = true
-			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", uint64(after))
+			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", after)
 			continue
 		}
 		incomplete = incomplete && err != nil
@@ -109,7 +111,7 @@
 		}
 		backoff = storeBackoff
 		if t == TableShared {
-			pause(ctx, n.sharedRowsPause())
+			n.pauseSharedReads(ctx)
 		}
 	}
 }
@@ -193,7 +195,9 @@
 	for _, r := range rows {
 		changes = append(changes, Change{Row: r})
 	}
-	n.applyChanges(t, changes, revision)
+	if !n.applyState(t, changes, revision, allRows) {
+		return 0, ErrStore.New("the store answered with era %d after a later one", revision.Era())
+	}
 	n.replicas[t].setLoaded()
 	alone := true
 	n.inspect(func(r *proxy.Node) { alone = r.Alone() })
@@ -220,7 +224,11 @@
 // applyChanges applies changes to the replica of a table. Those that are newer than the
 // replica's rows are passed on to the reducer.
 func (n *Node) applyChanges(t Table, changes []Change, revision platform.Revision) {
-	applied := n.replicas[t].apply(changes, revision)
+	n.deliver(t, n.replicas[t].apply(changes, revision))
+}
+
+// deliver passes changes of a table on to the reducer.
+func (n *Node) deliver(t Table, applied []Change) {
 	if len(applied) > 0 {
 		defer n.stateChanged.wake()
 	}
@@ -240,7 +248,7 @@
 	row, err := n.platform.DecodeOperatorRow(c.Row)
 	switch {
 	case err != nil:
-		n.log.Line(time.Now(), "operator.row_unreadable", "key", c.Key, "revision", uint64(c.Revision), "error", err.Error())
+		n.log.Line(time.Now(), "operator.row_unreadable", "key", c.Key, "revision", c.Revision, "error", err.Error())
 	case row.Configuration != nil:
 		n.step(proxy.ConfigurationSeen{Snapshot: row.Configuration})
 	case row.Order != nil:
@@ -262,7 +270,7 @@
 		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "error", errorText(err))
 		row = rollout.Row{Service: mesh.Service(service)} // invalid; the driver replaces it
 	}
-	row.Revision = uint64(c.Revision)
+	row.Revision = c.Revision
 	n.step(proxy.RolloutSeen{Row: row})
 }
 
