Limit the requests that a gate gives to a cold instance

Cause: a cold instance may receive at most WarmupPerS x 1.5 + 8 requests in any second, and a gate gave it whatever arrived. Change: package warmup holds a token bucket and the dispatches of the last second. The state of an instance is unknown after the start of the process, after the instance was down, and after a second without requests, and unknown counts as cold. A heartbeat that states no warm-up only leads to a health probe, as it may be older than the event. An instance can turn cold between two heartbeats, so dispatches that no health answer has confirmed are bounded too, and the gate probes before the bound is reached. A new process dispatches nothing to a cold instance for one second, in which the requests of the old one may still count. Entry nodes recognise a refusal by the limit by the free slots in the load report: the instance counts as loaded for a second, not as slow or failing, and the call goes on as after a closed gate. Ruled out: counting only dispatches since the last heartbeat (an instance at 60 requests a second exceeds the rule 0.3 s after it turned cold); trusting heartbeats for the state after a restart of the instance; holding refused requests in the queue of the gate.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -56,6 +56,10 @@
 	MaxConnections int
 	// HealthPath is the path of the health check of an instance. Empty stands for none.
 	HealthPath string
+	// WarmupTime is the time for which an instance is cold after its start. WarmupPerSecond
+	// bounds the requests per second that a cold instance receives. Zero stands for no limit.
+	WarmupTime      time.Duration
+	WarmupPerSecond float64
 }
 
 // ClientLimits bound what a client may send. Zero stands for no limit.
@@ -178,6 +182,15 @@
 	return ""
 }
 
+// WarmupPerSecond returns the requests per second that a cold instance of a service may
+// receive, zero if they are not limited.
+func (s *Snapshot) WarmupPerSecond(name mesh.Service) float64 {
+	if service := s.service(name); service != nil {
+		return service.WarmupPerSecond
+	}
+	return 0
+}
+
 func (s *Snapshot) service(name mesh.Service) *Service {
 	for i := range s.Services {
 		if s.Services[i].Name == name {
--- a/internal/proxy/adoption.go
+++ b/internal/proxy/adoption.go
@@ -113,6 +113,10 @@
 }
 
 func (e InstanceProbed) apply(n *Node, s *step) {
+	if e.WarmUpOnly {
+		n.applyWarmUpProbe(s, e)
+		return
+	}
 	if n.probing == e.ID {
 		n.probing = ""
 	}
@@ -123,11 +127,14 @@
 	if reported && e.Serving { // otherwise the next heartbeat leads to another probe
 		n.unconfirmed = nil
 		n.applyReport(s, report)
+		n.warmup.Confirmed(s.now, e.warmUpAnswer())
 	}
 	if !adopted {
 		return
 	}
 	n.local = localInstance{id: i.ID, service: i.Service, version: i.Version, slots: max(i.Slots, 1), born: i.Born, adopted: true}
+	n.resetWarmUp(s)
+	n.warmup.Confirmed(s.now, e.warmUpAnswer())
 	n.gateEffects = n.gate.SetInstance(s.now, admission.Instance{ID: i.ID, Slots: n.local.slots}, n.gateEffects)
 	n.announceSelf(s)
 }
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -270,9 +270,13 @@
 		return
 	}
 	c.inFlight = false
+	limited := e.isLimitRefusal()
+	if limited {
+		e.Load = limitedLoad(e.Load)
+	}
 	n.table.Done(s.now, c.choice, placement.Result{
 		Served: e.Outcome == mesh.Answered, Failed: e.Failed || e.Outcome == mesh.MayHaveRun || e.Outcome == mesh.NotRun && e.Reached,
-		Draining: e.Reason == mesh.ReasonDraining, Probed: !c.mayQueue, Full: e.Reason == mesh.ReasonOverload && !e.Reached, Duration: e.Duration, Bytes: e.Bytes, Backlog: e.Backlog, Load: e.Load, HasLoad: e.HasLoad,
+		Draining: e.Reason == mesh.ReasonDraining, Probed: !c.mayQueue && !limited, Full: e.Reason == mesh.ReasonOverload && !e.Reached, Duration: e.Duration, Bytes: e.Bytes, Backlog: e.Backlog, Load: e.Load, HasLoad: e.HasLoad,
 	})
 	if e.HostFailed {
 		n.markUnreachable(s, c.choice.Host)
@@ -289,7 +293,7 @@
 		return
 	}
 	c.lastReason = e.Reason
-	n.continueAfterAttempt(s, c, e)
+	n.continueAfterAttempt(s, c, e, limited)
 }
 
 // tryRepeatFailedAnswer reports whether another attempt follows an answer that reports a
@@ -303,8 +307,9 @@
 
 // continueAfterAttempt decides whether another attempt follows one that gave no answer
 // for the client, or ends the call. An attempt with a failed answer gets here only if
-// tryRepeatFailedAnswer has allowed another one.
-func (n *Node) continueAfterAttempt(s *step, c *call, e AttemptDone) {
+// tryRepeatFailedAnswer has allowed another one. limited is set for a refusal by the limit
+// of a cold instance, after which the call is sent to other instances as after a closed gate.
+func (n *Node) continueAfterAttempt(s *step, c *call, e AttemptDone, limited bool) {
 	if e.Outcome == mesh.Answered { // the repeat is already charged to the retry budget
 		c.excluded = append(c.excluded, c.choice.ID)
 		n.place(s, c)
@@ -312,6 +317,10 @@
 	}
 	notReached := e.Outcome == mesh.NotRun && !e.Reached
 	switch {
+	case limited:
+		c.placements--
+		c.closedGates++
+		c.excluded = append(c.excluded, c.choice.ID)
 	case notReached && e.Reason == mesh.ReasonOverload && c.mayQueue:
 		c.queueRejections = append(c.queueRejections, c.choice.ID)
 	case notReached && e.Reason == mesh.ReasonOverload:
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -134,6 +134,12 @@
 	ID mesh.InstanceID
 	// Serving is set if the instance with this ID answered the probe as healthy.
 	Serving bool
+	// WarmUp is the time for which the instance will still be cold, valid if WarmUpStated
+	// is set.
+	WarmUp       time.Duration
+	WarmUpStated bool
+	// WarmUpOnly is InstanceProbe.WarmUpOnly.
+	WarmUpOnly bool
 }
 
 // InstanceLeft reports that the instance is about to exit.
@@ -300,6 +306,8 @@
 type InstanceProbe struct {
 	ID   mesh.InstanceID
 	Path string
+	// WarmUpOnly is set for a probe that only asks whether the instance is cold.
+	WarmUpOnly bool
 }
 
 // EvidenceReport is evidence to be sent to the driver of a roll-out.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -79,6 +79,10 @@
 		n.rejectAtGate(s, e.Call, mesh.ReasonOverload, poison.Suspicion{})
 		return
 	}
+	if !n.warmup.Allow(s.now) {
+		n.refuseWarmUp(s, e.Call, load)
+		return
+	}
 	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, suspicion: check.Suspicion, repeatProbability: e.RepeatProbability}
 	n.gateEffects = n.gate.Arrive(s.now, admission.Call{
 		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank), TenantRank: e.TenantRank,
@@ -123,6 +127,9 @@
 		n.runs.end(s.now)
 	}
 	n.countEvidence(s, c, e)
+	if c.instance == n.local.id && (e.Result == GateLost || e.Result == GateNotSent) {
+		n.warmup.ConnectionLost()
+	}
 	switch e.Result {
 	case GateAnswered:
 		if n.poison.RecordSuccess(s.now, c.fingerprint, c.suspicion) {
@@ -158,6 +165,7 @@
 		return
 	}
 	n.local.down = true
+	n.resetWarmUp(s)
 	s.log("instance.down", "instance", string(id), "cause", cause)
 	n.gateEffects = n.gate.RemoveInstance(s.now, id, n.gateEffects)
 	n.announceSelf(s)
@@ -182,9 +190,15 @@
 // flushGate converts the pending effects of the admission gate into effects of the
 // step.
 func (n *Node) flushGate(s *step) {
-	for _, e := range n.gateEffects {
+	for i := 0; i < len(n.gateEffects); i++ { // refuseDispatch appends effects
+		e := n.gateEffects[i]
 		switch e.Action {
 		case admission.Dispatch:
+			if !n.warmup.Allow(s.now) {
+				n.refuseDispatch(s, &e)
+				continue
+			}
+			n.warmup.Dispatched(s.now)
 			n.counters.GateDispatched++
 			if c := n.gateCalls[e.Call]; c != nil {
 				c.dispatchedAt = s.now
@@ -234,6 +248,7 @@
 			n.gateEffects = n.gate.RemoveInstance(s.now, l.id, n.gateEffects)
 		}
 		*l = localInstance{id: e.ID, born: e.Born}
+		n.resetWarmUp(s)
 	}
 	previous := *l
 	l.service, l.version, l.slots = e.Service, e.Version, max(e.Slots, 1)
@@ -242,6 +257,8 @@
 	}
 	l.draining, l.down = e.Draining || l.draining && !isNew || n.hasLeft(e.ID, e.Born), false
 	l.warmAt = s.now.Add(e.WarmUp)
+	n.updateWarmUpLimit(s)
+	n.warmup.Heartbeat(s.now, e.WarmUp, n.healthPath() != "")
 	n.gateEffects = n.gate.SetInstance(s.now, admission.Instance{ID: l.id, Slots: l.slots, Draining: l.draining || l.left}, n.gateEffects)
 	if isNew || previous.version != l.version || previous.slots != l.slots || previous.draining != l.draining || previous.down != l.down || previous.service != l.service {
 		s.log("instance.reported", "instance", string(l.id), "service", string(l.service), "version", string(l.version),
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -21,6 +21,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/random"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
+	"github.com/chicoryscale/chicoryscale/internal/warmup"
 )
 
 // Settings describe the host and the limits of the deployment.
@@ -38,6 +39,8 @@
 	Incarnation mesh.Incarnation
 	// Repeats is the retry budget that all nodes of the deployment share.
 	Repeats retry.WindowBudget
+	// Warmup bounds the requests that a cold instance may receive.
+	Warmup warmup.Bounds
 }
 
 // Node is the reducer of one sidecar.
@@ -61,6 +64,9 @@
 	calls       map[mesh.CallID]*call
 	gateCalls   map[mesh.CallID]*gateCall
 	gateEffects []admission.Effect
+	warmup      *warmup.Limiter // of the instance on this host
+	// loggedWarmUp is the state of the instance in the newest log line about it.
+	loggedWarmUp warmup.State
 
 	self    Member
 	members map[mesh.HostID]*memberState
@@ -99,6 +105,7 @@
 		settings:       s,
 		table:          placement.New(s.Domain),
 		gate:           admission.New(admission.Limits{QueuePerSlot: queuePerSlot, InitialServiceTime: initialServiceTime}),
+		warmup:         warmup.New(now, s.Warmup),
 		poison:         poison.New(),
 		rollouts:       rollout.New(s.Host),
 		windows:        make(map[mesh.Service]*retry.Window),
@@ -128,6 +135,7 @@
 	s := &step{now: now, random: random.New(seed), out: out}
 	ev.apply(n, s)
 	n.flushGate(s)
+	n.probeWarmUp(s)
 	if n.membersChanged {
 		n.membersChanged = false
 		n.updateRouting(s)
@@ -172,6 +180,7 @@
 	Repeats                                              [repeatCauses]uint64 // by cause
 	GateCalls, GateDispatched, GateRejected              uint64
 	GateRepeats                                          uint64 // dispatched requests that are certainly repeats
+	WarmUpRefused, WarmUpProbes                          uint64 // requests refused by the limit of a cold instance, and probes for it
 	HostFailures, ConfigApplied                          uint64
 	UnknownKeys                                          uint64 // requests refused because no tenant holds their key
 	HeartbeatsAccepted, HeartbeatsIgnored, RolloutWrites uint64
@@ -205,6 +214,7 @@
 	}
 	n.splits = keptSplits
 	n.routeWindows = keptWindows
+	n.updateWarmUpLimit(s)
 	s.log("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
 	n.probePredecessorInstance(s)
 	n.confirmReport(s)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -261,10 +261,26 @@
 	if err != nil {
 		n.log.Line(time.Now(), "instance.probe_failed", "instance", string(p.ID), "error", err.Error())
 	}
-	n.step(proxy.InstanceProbed{
-		ID:      p.ID,
-		Serving: err == nil && resp.Status == http.StatusOK && resp.Header.Get(n.headers.Instance) == string(p.ID),
-	})
+	result := proxy.InstanceProbed{ID: p.ID, WarmUpOnly: p.WarmUpOnly}
+	if err == nil {
+		result.Serving = resp.Status == http.StatusOK && resp.Header.Get(n.headers.Instance) == string(p.ID)
+		result.WarmUp, result.WarmUpStated = parseWarmUp(resp.Header.Get(n.headers.WarmUpLeft))
+	}
+	n.step(result)
+}
+
+// parseWarmUp parses the value of the header WarmUpLeft. It reports false if the instance
+// states none. A value that is no time counts as the longest warm-up, because it doesn't
+// show that the instance is warm.
+func parseWarmUp(text string) (left time.Duration, stated bool) {
+	if text == "" {
+		return 0, false
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms >= 0 && ms <= float64(proxy.MaxWarmUp/time.Millisecond)) {
+		return proxy.MaxWarmUp, true
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
 // classifyInstanceAnswer derives the result of a request from the answer at the
--- a/internal/sidecar/gate_test.go
+++ b/internal/sidecar/gate_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/proxy"
 )
 
 // namedHeaders is a platform with names for the headers of instances.
@@ -70,3 +71,18 @@
 		})
 	}
 }
+
+// Guards against a health answer that declares a cold instance warm because its statement
+// can't be read.
+func TestUnreadableWarmUpCountsAsCold(t *testing.T) {
+	is := is.New(t)
+	for text, left := range map[string]time.Duration{
+		"0": 0, "1500": 1500 * time.Millisecond, "0.5": 500 * time.Microsecond, "-1": proxy.MaxWarmUp, "warm": proxy.MaxWarmUp, "NaN": proxy.MaxWarmUp, "1e99": proxy.MaxWarmUp,
+	} {
+		got, stated := parseWarmUp(text)
+		is.True(stated)
+		is.Equal(got, left)
+	}
+	_, stated := parseWarmUp("")
+	is.True(!stated)
+}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -107,6 +107,8 @@
 	{"chicory.gate.dispatched", "{call}", "Requests given to the instance.", func(c *proxy.Counters) uint64 { return c.GateDispatched }},
 	{"chicory.gate.repeats", "{call}", "Repeated requests given to the instance.", func(c *proxy.Counters) uint64 { return c.GateRepeats }},
 	{"chicory.gate.rejected", "{call}", "Requests that the gate refused.", func(c *proxy.Counters) uint64 { return c.GateRejected }},
+	{"chicory.gate.rejected.cold", "{call}", "Requests that the gate refused because its instance is cold.", func(c *proxy.Counters) uint64 { return c.WarmUpRefused }},
+	{"chicory.instance.warm_up_probes", "{probe}", "Health probes that asked whether the instance is cold.", func(c *proxy.Counters) uint64 { return c.WarmUpProbes }},
 	{"chicory.hosts.failed", "{failure}", "Times that another host was found unreachable.", func(c *proxy.Counters) uint64 { return c.HostFailures }},
 	{"chicory.config.changes", "{version}", "Configuration versions applied.", func(c *proxy.Counters) uint64 { return c.ConfigApplied }},
 	{"chicory.heartbeats", "{heartbeat}", "Heartbeats of the instance.", func(c *proxy.Counters) uint64 { return c.HeartbeatsAccepted }},
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -101,6 +101,9 @@
 	Key string
 	// Tenant is the tenant that holds the request's key, as stated to the instance.
 	Tenant string
+	// WarmUpLeft is the time in milliseconds, in a health answer, for which the instance
+	// will still be cold.
+	WarmUpLeft string
 }
 
 // ControlCall is a call to the node by the instance on its host: a heartbeat (Report)
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
+	"github.com/chicoryscale/chicoryscale/internal/warmup"
 )
 
 // Settings are the settings of the process, as read from the platform's settings file.
@@ -40,6 +41,8 @@
 	GracePeriod time.Duration
 	// Repeats is the retry budget. It covers the attempts of all nodes together.
 	Repeats retry.WindowBudget
+	// Warmup bounds the requests that a cold instance may receive.
+	Warmup warmup.Bounds
 	// LinkMbps is the bandwidth of the host's link in Mbit/s.
 	LinkMbps int
 	// MemoryBytes is the memory that the process may use. If zero,
