Evacuate failure domains on the order of the operator

Cause: an operator could not keep requests away from a failure domain; the row evacuate/ZONE was not read. Change: the row closes the gates of the domain and takes its instances out of routing at every node until it is removed. Rows from peers count like those from the store, and newer ones win by their revision. A full read of the table that lacks a row counts as its removal. A node whose copy began with a full read has no tombstones of earlier removals: it sends the list of existing rows to peers whose copy is older than that read. Evacuations of a batch are applied before the configuration, with which a node begins to serve. At the end the instances count as cold. The first reader writes status/evacuate/ZONE with the hosts that have not applied the row; it asks the other readers, which know the revision of each of their followers from the digests that these send anyway, only during an evacuation. Ruled out: publishing the applied revision in the member records, which would send the records of all hosts to all hosts at each change; closing the gate as if the instance drained, which is never taken back.

--- a/internal/proxy/adoption.go
+++ b/internal/proxy/adoption.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"time"
 
-	"github.com/chicoryscale/chicoryscale/internal/admission"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 )
 
@@ -135,7 +134,7 @@
 	n.local = localInstance{id: i.ID, service: i.Service, version: i.Version, slots: max(i.Slots, 1), born: i.Born, adopted: true}
 	n.resetWarmUp(s)
 	n.warmup.Confirmed(s.now, e.warmUpAnswer())
-	n.gateEffects = n.gate.SetInstance(s.now, admission.Instance{ID: i.ID, Slots: n.local.slots}, n.gateEffects)
+	n.setGateInstance(s)
 	n.announceSelf(s)
 }
 
@@ -157,7 +156,7 @@
 	n.predecessor.leftInstance = &left
 	if l := &n.local; l.id != "" && !l.draining && n.hasLeft(l.id, l.born) {
 		l.draining = true
-		n.gateEffects = n.gate.SetInstance(s.now, admission.Instance{ID: l.id, Slots: l.slots, Draining: true}, n.gateEffects)
+		n.setGateInstance(s)
 	}
 	s.log("instance.left", "instance", string(i.ID), "known", n.local.id == i.ID)
 	n.announceSelf(s)
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -88,7 +88,7 @@
 	slots := make(rollout.Slots)
 	for _, m := range n.members {
 		if i := m.Instance; i != nil && i.Service == service {
-			slots[i.Version] += m.usableSlots()
+			slots[i.Version] += n.usableSlots(m)
 		}
 	}
 	return slots
@@ -106,7 +106,7 @@
 			services[i.Service] = make(rollout.Slots)
 		}
 		// A version whose instances are all unusable is listed with zero slots.
-		services[i.Service][i.Version] += m.usableSlots()
+		services[i.Service][i.Version] += n.usableSlots(m)
 	}
 	for service, slots := range services {
 		n.table.SetShares(sharesForPlan(service, slots, n.rollouts.Plan(service)))
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -100,7 +100,7 @@
 // instance, ReasonNone if it does accept requests.
 func (n *Node) gateClosedReason(id mesh.InstanceID) mesh.Reason {
 	switch {
-	case n.self.Leaving:
+	case n.self.Leaving || n.Evacuated(n.settings.Domain):
 		return mesh.ReasonDraining
 	case n.local.id == "" || n.local.id != id || n.local.down:
 		return mesh.ReasonNoTarget
@@ -259,7 +259,7 @@
 	l.warmAt = s.now.Add(e.WarmUp)
 	n.updateWarmUpLimit(s)
 	n.warmup.Heartbeat(s.now, e.WarmUp, n.healthPath() != "")
-	n.gateEffects = n.gate.SetInstance(s.now, admission.Instance{ID: l.id, Slots: l.slots, Draining: l.draining || l.left}, n.gateEffects)
+	n.setGateInstance(s)
 	if isNew || previous.version != l.version || previous.slots != l.slots || previous.draining != l.draining || previous.down != l.down || previous.service != l.service {
 		s.log("instance.reported", "instance", string(l.id), "service", string(l.service), "version", string(l.version),
 			"slots", l.slots, "draining", l.draining, "warm_up_ms", e.WarmUp.Milliseconds(), "sequence", e.Sequence, "born", e.Born)
@@ -308,7 +308,7 @@
 	}
 	n.local.left = true
 	s.log("instance.left", "instance", string(e.ID), "known", true)
-	n.gateEffects = n.gate.SetInstance(s.now, admission.Instance{ID: e.ID, Slots: n.local.slots, Draining: true}, n.gateEffects)
+	n.setGateInstance(s)
 	n.announceSelf(s)
 }
 
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -138,7 +138,7 @@
 	}
 	if l := &n.local; l.id != "" {
 		n.self.Instance = &MemberInstance{
-			ID: l.id, Service: l.service, Version: l.version, Slots: l.slots, Closed: l.draining || l.left || l.down,
+			ID: l.id, Service: l.service, Version: l.version, Slots: l.slots, Closed: l.draining || l.left || l.down || n.Evacuated(n.settings.Domain),
 			Left: l.draining || l.left, Born: l.born,
 			WarmUpMillis: max(l.warmAt.Sub(s.now).Milliseconds(), 0),
 		}
@@ -251,7 +251,7 @@
 		seen[i.ID] = first
 		list = append(list, routing.Instance{
 			Host: host, Domain: m.Domain, ID: i.ID, Service: i.Service, Version: i.Version, Slots: i.Slots,
-			Draining: i.Closed || m.Leaving, Reachable: m.usable(), FirstAnnounced: first,
+			Draining: i.Closed || m.Leaving || n.Evacuated(m.Domain), Reachable: m.usable(), FirstAnnounced: first,
 			Ramp: time.Duration(i.WarmUpMillis) * time.Millisecond,
 		})
 	}
--- a/internal/proxy/meshsim_test.go
+++ b/internal/proxy/meshsim_test.go
@@ -36,6 +36,7 @@
 	clientRequests  map[string]int // requests of clients during the fault, by path
 	clientSuccesses map[string]int
 	instanceCrashes []mesh.Time
+	observe         func(host int, out *Ready) // called after each step, nil for none
 }
 
 // meshWorkload describes a deployment, its traffic and its faults.
@@ -254,6 +255,9 @@
 	for _, e := range out.Gates {
 		sim.gateEffect(e)
 	}
+	if sim.observe != nil {
+		sim.observe(host, &out)
+	}
 }
 
 func (sim *meshSimulation) callEffect(e CallEffect) {
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -67,6 +67,7 @@
 	warmup      *warmup.Limiter // of the instance on this host
 	// loggedWarmUp is the state of the instance in the newest log line about it.
 	loggedWarmUp warmup.State
+	evacuations  map[mesh.FailureDomain]evacuation
 
 	self    Member
 	members map[mesh.HostID]*memberState
@@ -105,6 +106,7 @@
 		settings:       s,
 		table:          placement.New(s.Domain),
 		gate:           admission.New(admission.Limits{QueuePerSlot: queuePerSlot, InitialServiceTime: initialServiceTime}),
+		evacuations:    make(map[mesh.FailureDomain]evacuation),
 		warmup:         warmup.New(now, s.Warmup),
 		poison:         poison.New(),
 		rollouts:       rollout.New(s.Host),
@@ -180,6 +182,7 @@
 	Repeats                                              [repeatCauses]uint64 // by cause
 	GateCalls, GateDispatched, GateRejected              uint64
 	GateRepeats                                          uint64 // dispatched requests that are certainly repeats
+	Evacuations                                          uint64 // begins and ends of evacuations that this node has learned of
 	WarmUpRefused, WarmUpProbes                          uint64 // requests refused by the limit of a cold instance, and probes for it
 	HostFailures, ConfigApplied                          uint64
 	UnknownKeys                                          uint64 // requests refused because no tenant holds their key
--- a/internal/proxy/warmup.go
+++ b/internal/proxy/warmup.go
@@ -62,7 +62,7 @@
 		n.loggedWarmUp = state
 	}
 	l := &n.local
-	if l.id == "" || l.down || l.left || l.draining {
+	if l.id == "" || l.down || l.left || l.draining || n.Evacuated(n.settings.Domain) {
 		return
 	}
 	path := n.healthPath()
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -114,6 +114,7 @@
 	{"chicory.heartbeats", "{heartbeat}", "Heartbeats of the instance.", func(c *proxy.Counters) uint64 { return c.HeartbeatsAccepted }},
 	{"chicory.heartbeats.ignored", "{heartbeat}", "Heartbeats that were late or named no instance of the host.", func(c *proxy.Counters) uint64 { return c.HeartbeatsIgnored }},
 	{"chicory.keys.unknown", "{call}", "Requests refused because no tenant holds their key.", func(c *proxy.Counters) uint64 { return c.UnknownKeys }},
+	{"chicory.evacuation.changes", "{change}", "Begins and ends of evacuations that the node has learned of.", func(c *proxy.Counters) uint64 { return c.Evacuations }},
 	{"chicory.rollout.writes", "{row}", "Rows of roll-outs written by this node.", func(c *proxy.Counters) uint64 { return c.RolloutWrites }},
 }
 
@@ -152,6 +153,10 @@
 	if err != nil {
 		return fmt.Errorf("register metric chicory.config.version: %w", err)
 	}
+	evacuations, err := meter.Int64ObservableGauge("chicory.evacuations", metric.WithDescription("Evacuated failure domains."))
+	if err != nil {
+		return fmt.Errorf("register metric chicory.evacuations: %w", err)
+	}
 	var ioTotals []metric.Int64Observable
 	for _, t := range ioCounterSpecs {
 		instrument, err := meter.Int64ObservableCounter(t.name, metric.WithUnit(t.unit), metric.WithDescription(t.help))
@@ -162,9 +167,9 @@
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		var c proxy.Counters
-		var v int64
+		var v, evacuated int64
 		n.inspect(func(r *proxy.Node) {
-			c = r.Counters()
+			c, evacuated = r.Counters(), int64(len(r.Evacuations()))
 			if snapshot := r.Config(); snapshot != nil {
 				v = int64(snapshot.Version)
 			}
@@ -173,11 +178,12 @@
 			o.ObserveInt64(counters[i], int64(spec.value(&c)))
 		}
 		o.ObserveInt64(configVersion, v)
+		o.ObserveInt64(evacuations, evacuated)
 		for i, spec := range ioCounterSpecs {
 			o.ObserveInt64(ioTotals[i], spec.value(n))
 		}
 		return nil
-	}, append(instruments, configVersion)...)
+	}, append(instruments, configVersion, evacuations)...)
 	if err != nil {
 		return fmt.Errorf("register the callback that reads the counters: %w", err)
 	}
--- a/internal/sidecar/peers.go
+++ b/internal/sidecar/peers.go
@@ -72,6 +72,12 @@
 	// tables have all changes.
 	OperatorAt platform.Revision
 	SharedAt   platform.Revision
+	// OperatorListed is set if the peer may lack removals of rows of TableOperator that the
+	// sender of the digest needs. OperatorKeys then lists all rows that exist, and
+	// OperatorStart is the revision from which the peer has all removals.
+	OperatorListed bool
+	OperatorKeys   []string
+	OperatorStart  platform.Revision
 	// Poison lists the requests that crash instances.
 	Poison []poison.Entry
 	// Loaded is set if the peer has read both tables, so that its rows are complete.
@@ -104,10 +110,12 @@
 		}
 		out.Poison, out.StoreAlive = r.PoisonEntries(n.now()), r.StoreAlive()
 	})
+	n.hostRevisions.set(d.Self.Host, d.Operator)
 	out.Host, out.Loaded = n.settings.Host, n.allTablesLoaded()
 	if out.Operator, out.OperatorAt, err = n.replicas[TableOperator].changesSince(d.Operator, allRows); err != nil {
 		return members, err
 	}
+	out.OperatorKeys, out.OperatorListed, out.OperatorStart = n.replicas[TableOperator].historyFor(d.Operator)
 	out.Shared, out.SharedAt, err = n.replicas[TableShared].changesSince(d.Shared, rowsForPeer(d.Self.Host))
 	return members, err
 }
@@ -242,12 +250,24 @@
 // requestDelta sends this node's digest to a host and applies the delta that it gets. It
 // fails if another host answers at the address.
 func (p *peerSet) requestDelta(host mesh.HostID, addr, method string, timeout time.Duration) (delta News, err error) {
-	n := p.node
-	d := Digest{Operator: n.replicas[TableOperator].completeRevision(), Shared: n.replicas[TableShared].completeRevision()}
-	n.inspect(func(r *proxy.Node) { d.Self, d.Members, d.ByRow = r.Self(), r.MembersDigest(), r.HasRowOnlyHosts() })
-	if err := p.call(addr, method, d, &delta, timeout); err != nil {
+	if err := p.call(addr, method, p.node.newDigest(), &delta, timeout); err != nil {
 		return delta, err
 	}
+	if err := p.node.applyDelta(&delta); err != nil {
+		return delta, err
+	}
+	return delta, verifyHost(host, delta.Host, addr)
+}
+
+// newDigest summarizes what this node knows.
+func (n *Node) newDigest() Digest {
+	d := Digest{Operator: n.replicas[TableOperator].completeRevision(), Shared: n.replicas[TableShared].completeRevision()}
+	n.inspect(func(r *proxy.Node) { d.Self, d.Members, d.ByRow = r.Self(), r.MembersDigest(), r.HasRowOnlyHosts() })
+	return d
+}
+
+// applyDelta applies a peer's reply to a digest of this node.
+func (n *Node) applyDelta(delta *News) error {
 	n.step(proxy.MembersSeen{Members: append(delta.Members, delta.Earlier)})
 	if delta.Vouched != nil {
 		n.step(proxy.SettledPeerDigest{Digest: delta.Vouched})
@@ -255,11 +275,15 @@
 	n.step(proxy.PoisonSeen{Entries: delta.Poison})
 	operator, err := unpackAll(delta.Operator)
 	if err != nil {
-		return delta, err
+		return err
 	}
 	shared, err := unpackAll(delta.Shared)
 	if err != nil {
-		return delta, err
+		return err
+	}
+	if delta.OperatorListed {
+		operator = append(operator, n.replicas[TableOperator].removedBefore(delta.OperatorAt, delta.OperatorKeys)...)
+		n.replicas[TableOperator].setHistoryStart(delta.OperatorStart)
 	}
 	n.applyChanges(TableOperator, operator, delta.OperatorAt)
 	n.applyChanges(TableShared, shared, delta.SharedAt)
@@ -267,7 +291,7 @@
 		n.replicas[TableOperator].setLoaded()
 		n.replicas[TableShared].setLoaded()
 	}
-	return delta, verifyHost(host, delta.Host, addr)
+	return nil
 }
 
 // call makes one call. If the peer has closed the connection since the last call, as it
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
@@ -30,8 +31,8 @@
 
 // Tables.
 const (
-	// TableOperator holds the rows that operators write: the configuration and orders
-	// of roll-outs.
+	// TableOperator holds the rows that operators write: the configuration, orders of
+	// roll-outs and evacuations.
 	TableOperator Table = iota
 	// TableShared holds the rows that nodes write for each other: members and the
 	// state of roll-outs.
@@ -123,6 +124,13 @@
 	ReadyPath() string
 	// DecodeOperatorRow decodes a row of TableOperator.
 	DecodeOperatorRow(row platform.Row) (OperatorRow, error)
+	// EvacuatedDomain returns the failure domain whose evacuation a row of TableOperator
+	// asks for, or whose evacuation a row of TableStatus is about. It reports false for all
+	// other rows.
+	EvacuatedDomain(key string) (mesh.FailureDomain, bool)
+	// EncodeEvacuationStatus returns the row of TableStatus that shows operators the hosts
+	// that don't comply with an evacuation yet.
+	EncodeEvacuationStatus(domain mesh.FailureDomain, pending []mesh.HostID) (platform.Put, error)
 	// EncodeStatus returns the row of TableStatus that shows operators the state of a
 	// roll-out.
 	EncodeStatus(row rollout.Row) (platform.Put, error)
--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -85,12 +85,12 @@
 	}
 	hold := time.NewTimer(n.holdTime(len(out.Members) > 0))
 	defer hold.Stop()
-	for len(out.Operator)+len(out.Shared) == 0 && out.StoreAlive {
+	for len(out.Operator)+len(out.Shared) == 0 && !out.OperatorListed && out.StoreAlive {
 		changed := n.stateChanged.wait()
 		// A change between the last buildDelta and the call of wait wakes nobody, so
 		// build the delta once more.
 		current, err := n.buildDelta(&d, out)
-		if err != nil || len(out.Operator)+len(out.Shared) > 0 || !out.StoreAlive || !bytes.Equal(current, members) {
+		if err != nil || len(out.Operator)+len(out.Shared) > 0 || out.OperatorListed || !out.StoreAlive || !bytes.Equal(current, members) {
 			return err
 		}
 		select {
--- a/internal/sidecar/replica.go
+++ b/internal/sidecar/replica.go
@@ -18,6 +18,9 @@
 	// loaded is set once the whole table has been read. The revision cannot show this,
 	// because that of an empty store is zero.
 	loaded bool
+	// historyStart is the revision from which the copy has all removals. Rows that were
+	// removed before it are missing without a tombstone.
+	historyStart platform.Revision
 }
 
 func newReplica() *replica {
@@ -97,3 +100,50 @@
 	}
 	return platform.Row{Key: key}
 }
+
+// rowKeys returns the keys of rows.
+func rowKeys(rows []platform.Row) []string {
+	keys := make([]string, 0, len(rows))
+	for _, r := range rows {
+		keys = append(keys, r.Key)
+	}
+	return keys
+}
+
+// removedBefore returns removals, as of a revision, of the rows that the copy has and that a
+// complete list of the keys at that revision lacks.
+func (r *replica) removedBefore(revision platform.Revision, keys []string) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var removed []Change
+	for key, c := range r.rows {
+		if !c.Deleted && c.Revision <= revision && !slices.Contains(keys, key) {
+			removed = append(removed, Change{Row: platform.Row{Key: key, Revision: revision}, Deleted: true})
+		}
+	}
+	return removed
+}
+
+// setHistoryStart records that the copy has all removals only from a revision on.
+func (r *replica) setHistoryStart(revision platform.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.historyStart = max(r.historyStart, revision)
+}
+
+// historyFor returns what a peer needs whose copy has all changes up to a revision: if this
+// copy may lack removals after that revision, complete is set and keys lists all existing
+// rows. It also returns the revision from which this copy has all removals.
+func (r *replica) historyFor(after platform.Revision) (keys []string, complete bool, start platform.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if after >= r.historyStart {
+		return nil, false, r.historyStart
+	}
+	for key, c := range r.rows {
+		if !c.Deleted {
+			keys = append(keys, key)
+		}
+	}
+	return keys, true, r.historyStart
+}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,6 +55,7 @@
 
 	peers         *peerSet
 	replicas      [2]*replica   // by Table
+	hostRevisions hostRevisions // of the operator's rows
 	announceDue   chan struct{} // signalled when this host's record has changed and its row may have to be written
 	notifyDue     chan struct{} // signalled when this host's record has changed and the readers of the store are to be notified
 	rolloutWrites chan rolloutWrite
@@ -259,6 +260,7 @@
 	go n.announce(ctx)
 	go n.notifyReaders(ctx)
 	go n.writeRollouts(ctx)
+	go n.writeEvacuationStatus(ctx)
 	go n.gossip(ctx)
 }
 
--- a/internal/sidecar/tablesync.go
+++ b/internal/sidecar/tablesync.go
@@ -1,9 +1,11 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -193,6 +195,10 @@
 	for _, r := range rows {
 		changes = append(changes, Change{Row: r})
 	}
+	if t == TableOperator {
+		changes = append(changes, n.replicas[t].removedBefore(revision, rowKeys(rows))...)
+		n.replicas[t].setHistoryStart(revision) // before peers can see the new revision
+	}
 	n.applyChanges(t, changes, revision)
 	n.replicas[t].setLoaded()
 	alone := true
@@ -224,6 +230,9 @@
 	if len(applied) > 0 {
 		defer n.stateChanged.wake()
 	}
+	if t == TableOperator {
+		n.evacuationsFirst(applied)
+	}
 	for _, c := range applied {
 		if t == TableOperator {
 			n.applyOperatorRow(c)
@@ -233,7 +242,23 @@
 	}
 }
 
+// evacuationsFirst moves evacuations before other changes. With the configuration, the node
+// begins to send requests and opens its gate.
+func (n *Node) evacuationsFirst(changes []Change) {
+	order := func(c Change) int {
+		if _, ok := n.platform.EvacuatedDomain(c.Key); ok {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int { return cmp.Compare(order(a), order(b)) })
+}
+
 func (n *Node) applyOperatorRow(c Change) {
+	if domain, ok := n.platform.EvacuatedDomain(c.Key); ok {
+		n.step(proxy.EvacuationSeen{Domain: domain, Revision: uint64(c.Revision), Removed: c.Deleted})
+		return
+	}
 	if c.Deleted {
 		return // a configuration or an order of a roll-out stays in force until it is replaced by another
 	}
