--- a/internal/proxy/warmup.go
+++ b/internal/proxy/warmup.go
@@ -35,6 +35,12 @@
 	n.updateWarmUpLimit(s)
 }
 
+// LimitsWarmUp reports whether the gate limits requests because the local instance isn't
+// known to be warm.
+func (n *Node) LimitsWarmUp() bool {
+	return n.local.id != "" && n.warmup.Limited() && n.warmup.State() != warmup.Warm
+}
+
 // refuseWarmUp refuses a request because of the limit of a cold instance.
 func (n *Node) refuseWarmUp(s *step, id mesh.CallID, load mesh.Load) {
 	n.counters.WarmUpRefused++
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -157,6 +157,10 @@
 	if err != nil {
 		return fmt.Errorf("register metric chicory.evacuations: %w", err)
 	}
+	cold, err := meter.Int64ObservableGauge("chicory.instance.cold", metric.WithDescription("1 while the gate limits requests to the instance because it may be cold."))
+	if err != nil {
+		return fmt.Errorf("register metric chicory.instance.cold: %w", err)
+	}
 	var ioTotals []metric.Int64Observable
 	for _, t := range ioCounterSpecs {
 		instrument, err := meter.Int64ObservableCounter(t.name, metric.WithUnit(t.unit), metric.WithDescription(t.help))
@@ -167,9 +171,12 @@
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		var c proxy.Counters
-		var v, evacuated int64
+		var v, evacuated, limited int64
 		n.inspect(func(r *proxy.Node) {
 			c, evacuated = r.Counters(), int64(len(r.Evacuations()))
+			if r.LimitsWarmUp() {
+				limited = 1
+			}
 			if snapshot := r.Config(); snapshot != nil {
 				v = int64(snapshot.Version)
 			}
@@ -179,11 +186,12 @@
 		}
 		o.ObserveInt64(configVersion, v)
 		o.ObserveInt64(evacuations, evacuated)
+		o.ObserveInt64(cold, limited)
 		for i, spec := range ioCounterSpecs {
 			o.ObserveInt64(ioTotals[i], spec.value(n))
 		}
 		return nil
-	}, append(instruments, configVersion, evacuations)...)
+	}, append(instruments, configVersion, evacuations, cold)...)
 	if err != nil {
 		return fmt.Errorf("register the callback that reads the counters: %w", err)
 	}
