Count the probes of a warm-up against the rule

Probes were sent without regard to the requests of the second, again at once after an answer if a request was refused meanwhile, and by a new process in the second in which it dispatches nothing. Change: a probe is sent only within the rule, an answer settles the wish for a probe, and a new process waits one second with probes of an instance not known to be warm. Ruled out: leaving probes out of the count, since it is not known whether the platform counts health checks.

--- a/internal/sidecar/evacuation.go
+++ b/internal/sidecar/evacuation.go
@@ -18,6 +18,9 @@
 	// while hosts don't comply yet, and statusIdleInterval while all comply.
 	statusInterval     = time.Second
 	statusIdleInterval = 5 * time.Second
+	// maxHostRevisions bounds the hosts whose revisions are kept outside evacuations. It
+	// exceeds the number of hosts of a deployment; replaced hosts are forgotten beyond it.
+	maxHostRevisions = 1000
 	// methodApplied is the RPC method that returns the revisions known to a reader.
 	methodApplied = peerService + ".Applied"
 )
@@ -32,7 +35,7 @@
 func (h *hostRevisions) set(host mesh.HostID, revision platform.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.byHost == nil {
+	if h.byHost == nil || len(h.byHost) >= maxHostRevisions {
 		h.byHost = make(map[mesh.HostID]platform.Revision)
 	}
 	h.byHost[host] = revision
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -260,6 +260,10 @@
 		return false
 	}
 	l.advance(now)
+	// A probe counts as a request, to be on the safe side.
+	if l.unconfirmed() >= int(math.Floor(l.rule())) || l.state != Warm && now <= l.coldFrom {
+		return false
+	}
 	switch {
 	case l.probeWanted:
 	case l.state == Warm && l.unconfirmed() >= l.probeThreshold(now):
@@ -304,7 +308,6 @@
 // instance.
 func (l *Limiter) Confirmed(now mesh.Time, a Answer) {
 	if a.Serving {
-		l.probeWanted = false
 		l.apply(now, now, a)
 	}
 }
@@ -312,6 +315,7 @@
 // apply records a health answer to a probe that was sent at a time.
 func (l *Limiter) apply(now, sentAt mesh.Time, a Answer) {
 	l.advance(now)
+	l.probeWanted = false
 	switch {
 	case !a.Stated:
 		l.silent = true
