Let the next reader write the status of evacuations if the first has lost the store

Cause: only the first reader of all wrote status/evacuate/ZONE, so nobody wrote it while that host was cut off from the store. Change: a reader writes if it reaches the store and no reader before it does. It asks these only during an evacuation, with the call that returns the applied revisions. Ruled out: telling the state of the store in the member records, which would change with each failed poll. Measured: tests of warmup, proxy and sidecar pass with the race detector.

--- a/internal/proxy/evacuation.go
+++ b/internal/proxy/evacuation.go
@@ -96,10 +96,18 @@
 	return m.usableSlots()
 }
 
-// WritesStatus reports whether this node writes the rows about evacuations for operators:
-// it is the first reader, has read the store and reaches it.
-func (n *Node) WritesStatus() bool {
-	return n.store.Loaded && n.store.Alive && !n.stopping && n.firstReader() == n.settings.Host
+// CanWriteStatus reports whether this node can write the rows about evacuations for
+// operators: it is a reader, has read the store and reaches it.
+func (n *Node) CanWriteStatus() bool {
+	return n.store.Loaded && n.store.Alive && !n.stopping && n.Role().Reads
+}
+
+// ReadersBefore returns the readers that write the rows about evacuations in preference to
+// this node, if they can.
+func (n *Node) ReadersBefore() []Member {
+	readers := n.allReaders()
+	own := slices.IndexFunc(readers, func(m Member) bool { return m.Host == n.settings.Host })
+	return readers[:max(own, 0)]
 }
 
 // ReachableHosts returns the hosts that this node can reach, itself included, sorted by
--- a/internal/sidecar/evacuation.go
+++ b/internal/sidecar/evacuation.go
@@ -67,11 +67,14 @@
 // it: the revision up to which each of them has applied the operator's rows.
 type AppliedRevisions struct {
 	Hosts map[mesh.HostID]platform.Revision
+	// CanWrite is set if the reader can write the status rows.
+	CanWrite bool
 }
 
 // Applied returns the revisions that this node knows.
 func (s *PeerService) Applied(_ struct{}, out *AppliedRevisions) error {
 	out.Hosts = s.node.appliedRevisions()
+	s.node.inspect(func(r *proxy.Node) { out.CanWrite = r.CanWriteStatus() })
 	return nil
 }
 
@@ -107,40 +110,45 @@
 	}
 }
 
-// updateEvacuationStatus writes the status rows that differ from the current state. It
-// reports whether the hosts in touch comply with all evacuations.
+// updateEvacuationStatus writes the status rows that differ from the current state, if this
+// node is their writer: the first of the readers that can write them. Only the first of all
+// readers looks for rows that an earlier writer has left. It reports whether the hosts in
+// touch comply with all evacuations.
 func (n *Node) updateEvacuationStatus(ctx context.Context, w *statusWriter) (complied bool, err error) {
-	isWriter := false
+	canWrite := false
 	wanted := make(map[mesh.FailureDomain]platform.Revision)
 	var hosts []mesh.HostID
-	var readers []proxy.Member
+	var before, readers []proxy.Member
 	n.inspect(func(r *proxy.Node) {
-		isWriter, hosts, readers = r.WritesStatus(), r.ReachableHosts(), r.Readers()
+		canWrite, hosts, before, readers = r.CanWriteStatus(), r.ReachableHosts(), r.ReadersBefore(), r.Readers()
 		for _, domain := range r.Evacuations() {
 			wanted[domain] = platform.Revision(r.EvacuationRevision(domain))
 		}
 	})
-	if !isWriter {
+	if !canWrite || len(before) > 0 && len(wanted) == 0 && w.written == nil {
 		w.written = nil
 		return false, nil
 	}
-	if w.written == nil {
-		if w.written, err = n.readEvacuationStatus(ctx); err != nil {
-			return false, err
-		}
-	}
-	var revisions map[mesh.HostID]platform.Revision
-	if len(wanted) > 0 {
-		revisions = n.appliedRevisions()
+	revisions := n.appliedRevisions()
+	if len(wanted) > 0 || len(before) > 0 {
 		for _, reader := range readers {
 			var reply AppliedRevisions
 			if err := n.peers.call(reader.PeerAddr, methodApplied, struct{}{}, &reply, peerTimeout); err != nil {
 				n.log.Line(time.Now(), "evacuation.reader_silent", "reader", string(reader.Host), "error", err.Error())
 				continue // its followers count as pending
 			}
+			if reply.CanWrite && slices.ContainsFunc(before, func(m proxy.Member) bool { return m.Host == reader.Host }) {
+				w.written = nil
+				return false, nil
+			}
 			mergeRevisions(revisions, reply.Hosts)
 		}
 	}
+	if w.written == nil {
+		if w.written, err = n.readEvacuationStatus(ctx); err != nil {
+			return false, err
+		}
+	}
 	complied = true
 	for domain, revision := range wanted {
 		pending := pendingHosts(hosts, revisions, revision)
