Merge evacuations and the limit of cold instances

The two parts meet in the replica of the operator's rows: a full read finds removed rows only within an era, as the store of a later era may lack rows that are still in force. Cause of the fix in expireLostRows: the end of an evacuation whose row the store had lost was delivered with the revision of the lost row, which the reducer knew already, so that the evacuation went on for ever (TestLostEvacuationEndsAfterTheRetention failed first). Measured: the tests of internal/sidecar, proxy, rollout, warmup and platform pass.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -140,9 +140,9 @@
 	})
 }
 
-// applyDelta applies the changes of the selected rows that a peer has sent. Those of a
+// applyPeerChanges applies the changes of the selected rows that a peer has sent. Those of a
 // later era than the replica's are the complete state, as no row of it is older.
-func (n *Node) applyDelta(t Table, changes []Change, revision platform.Revision, selected func(key string) bool) {
+func (n *Node) applyPeerChanges(t Table, changes []Change, revision platform.Revision, selected func(key string) bool) {
 	if revision.Era() > n.replicas[t].completeRevision().Era() {
 		n.applyState(t, changes, revision, selected)
 		return
@@ -191,7 +191,9 @@
 	for _, c := range rows {
 		if n.replicas[TableOperator].row(c.Key).Revision.Version() == 0 {
 			n.log.Event("operator.row_lost", "key", c.Key, "revision", c.Revision)
-			n.deliver(TableOperator, []Change{{Row: c.Row, Deleted: true}})
+			// The removal counts from the current era, in which the row has never existed.
+			c.Revision, c.Deleted = platform.NewRevision(n.replicas[TableOperator].completeRevision().Era(), 0), true
+			n.deliver(TableOperator, []Change{c})
 		}
 	}
 }
--- a/internal/sidecar/era_test.go
+++ b/internal/sidecar/era_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,6 +34,11 @@
 	return OperatorRow{Configuration: snapshot}, err
 }
 
+func (eraPlatform) EvacuatedDomain(key string) (mesh.FailureDomain, bool) {
+	domain, ok := strings.CutPrefix(key, "evacuate/")
+	return mesh.FailureDomain(domain), ok
+}
+
 func (p eraPlatform) Commit(_ context.Context, check platform.Check, _ []Write) (platform.Revision, platform.Row, error) {
 	*p.check = check
 	return 0, platform.Row{}, errors.New("not written")
@@ -83,8 +89,8 @@
 	if err := errors.Join(err, errOperator, errShared, errLost); err != nil {
 		t.Fatal(err)
 	}
-	n.applyDelta(TableOperator, operator, delta.OperatorAt, allRows)
-	n.applyDelta(TableShared, shared, delta.SharedAt, rowsForPeer(n.settings.Host))
+	n.applyPeerChanges(TableOperator, operator, delta.OperatorAt, allRows)
+	n.applyPeerChanges(TableShared, shared, delta.SharedAt, rowsForPeer(n.settings.Host))
 	n.applyLostRows(lost, delta.LostFor)
 }
 
@@ -162,3 +168,24 @@
 	is.Equal(len(rows), 0)
 	is.Equal(n.configVersion(), mesh.ConfigVersion(5))
 }
+
+// Guards against an evacuation that goes on for ever because the store has lost its row and
+// the operator doesn't want it any more, and against one that ends before the operator had
+// time to write it again.
+func TestLostEvacuationEndsAfterTheRetention(t *testing.T) {
+	is := is.New(t)
+	n, _ := newEraNode(t, "a")
+	evacuated := func() (list []mesh.FailureDomain) {
+		n.inspect(func(r *proxy.Node) { list = r.Evacuations() })
+		return list
+	}
+	n.applyState(TableOperator, []Change{rowChange("config", "5", 0, 50), rowChange("evacuate/z", "", 0, 55)}, 60, allRows)
+	n.applyState(TableOperator, []Change{rowChange("config", "5", 1, 50)}, platform.NewRevision(1, 50), allRows)
+	n.expireLostRows()
+	is.Equal(evacuated(), []mesh.FailureDomain{"z"})
+	n.lostRows.until = time.Now()
+	n.expireLostRows()
+	is.Equal(len(evacuated()), 0)
+	n.applyChanges(TableOperator, []Change{rowChange("evacuate/z", "", 1, 51)}, platform.NewRevision(1, 51))
+	is.Equal(evacuated(), []mesh.FailureDomain{"z"})
+}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -107,11 +107,14 @@
 	{"chicory.gate.dispatched", "{call}", "Requests given to the instance.", func(c *proxy.Counters) uint64 { return c.GateDispatched }},
 	{"chicory.gate.repeats", "{call}", "Repeated requests given to the instance.", func(c *proxy.Counters) uint64 { return c.GateRepeats }},
 	{"chicory.gate.rejected", "{call}", "Requests that the gate refused.", func(c *proxy.Counters) uint64 { return c.GateRejected }},
+	{"chicory.gate.rejected.cold", "{call}", "Requests that the gate refused because its instance is cold.", func(c *proxy.Counters) uint64 { return c.WarmUpRefused }},
+	{"chicory.instance.warm_up_probes", "{probe}", "Health probes that asked whether the instance is cold.", func(c *proxy.Counters) uint64 { return c.WarmUpProbes }},
 	{"chicory.hosts.failed", "{failure}", "Times that another host was found unreachable.", func(c *proxy.Counters) uint64 { return c.HostFailures }},
 	{"chicory.config.changes", "{version}", "Configuration versions applied.", func(c *proxy.Counters) uint64 { return c.ConfigApplied }},
 	{"chicory.heartbeats", "{heartbeat}", "Heartbeats of the instance.", func(c *proxy.Counters) uint64 { return c.HeartbeatsAccepted }},
 	{"chicory.heartbeats.ignored", "{heartbeat}", "Heartbeats that were late or named no instance of the host.", func(c *proxy.Counters) uint64 { return c.HeartbeatsIgnored }},
 	{"chicory.keys.unknown", "{call}", "Requests refused because no tenant holds their key.", func(c *proxy.Counters) uint64 { return c.UnknownKeys }},
+	{"chicory.evacuation.changes", "{change}", "Begins and ends of evacuations that the node has learned of.", func(c *proxy.Counters) uint64 { return c.Evacuations }},
 	{"chicory.rollout.writes", "{row}", "Rows of roll-outs written by this node.", func(c *proxy.Counters) uint64 { return c.RolloutWrites }},
 }
 
@@ -154,6 +157,14 @@
 	if err != nil {
 		return fmt.Errorf("register metric chicory.store.era: %w", err)
 	}
+	evacuations, err := meter.Int64ObservableGauge("chicory.evacuations", metric.WithDescription("Evacuated failure domains."))
+	if err != nil {
+		return fmt.Errorf("register metric chicory.evacuations: %w", err)
+	}
+	cold, err := meter.Int64ObservableGauge("chicory.instance.cold", metric.WithDescription("1 while the gate limits requests to the instance because it may be cold."))
+	if err != nil {
+		return fmt.Errorf("register metric chicory.instance.cold: %w", err)
+	}
 	var ioTotals []metric.Int64Observable
 	for _, t := range ioCounterSpecs {
 		instrument, err := meter.Int64ObservableCounter(t.name, metric.WithUnit(t.unit), metric.WithDescription(t.help))
@@ -164,9 +175,12 @@
 	}
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		var c proxy.Counters
-		var v int64
+		var v, evacuated, limited int64
 		n.inspect(func(r *proxy.Node) {
-			c = r.Counters()
+			c, evacuated = r.Counters(), int64(len(r.Evacuations()))
+			if r.LimitsWarmUp() {
+				limited = 1
+			}
 			if snapshot := r.Config(); snapshot != nil {
 				v = int64(snapshot.Version)
 			}
@@ -176,11 +190,13 @@
 		}
 		o.ObserveInt64(configVersion, v)
 		o.ObserveInt64(storeEra, int64(max(n.replicas[TableOperator].completeRevision(), n.replicas[TableShared].completeRevision()).Era()))
+		o.ObserveInt64(evacuations, evacuated)
+		o.ObserveInt64(cold, limited)
 		for i, spec := range ioCounterSpecs {
 			o.ObserveInt64(ioTotals[i], spec.value(n))
 		}
 		return nil
-	}, append(instruments, configVersion, storeEra)...)
+	}, append(instruments, configVersion, storeEra, evacuations, cold)...)
 	if err != nil {
 		return fmt.Errorf("register the callback that reads the counters: %w", err)
 	}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -55,6 +55,7 @@
 
 	peers         *peerSet
 	replicas      [2]*replica   // by Table
+	hostRevisions hostRevisions // of the operator's rows
 	announceDue   chan struct{} // signalled when this host's record has changed and its row may have to be written
 	notifyDue     chan struct{} // signalled when this host's record has changed and the readers of the store are to be notified
 	rolloutWrites chan rolloutWrite
@@ -105,7 +106,7 @@
 	n.reducer = proxy.New(n.now(), proxy.Settings{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: cmp.Or(s.AdvertisedForward, s.ForwardAddr),
 		PeerAddr: cmp.Or(s.AdvertisedPeer, s.PeerAddr), LinkMbps: s.LinkMbps, Service: s.Service,
-		Incarnation: mesh.Incarnation(n.startTime), Repeats: s.Repeats,
+		Incarnation: mesh.Incarnation(n.startTime), Repeats: s.Repeats, Warmup: s.Warmup,
 	})
 	var err error
 	n.metrics, err = newMetrics(n)
@@ -263,6 +264,7 @@
 	go n.announce(ctx)
 	go n.notifyReaders(ctx)
 	go n.writeRollouts(ctx)
+	go n.writeEvacuationStatus(ctx)
 	go n.gossip(ctx)
 }
 
--- a/internal/sidecar/tablesync.go
+++ b/internal/sidecar/tablesync.go
@@ -1,9 +1,11 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -195,6 +197,10 @@
 	for _, r := range rows {
 		changes = append(changes, Change{Row: r})
 	}
+	if t == TableOperator {
+		changes = n.addRemovals(changes, revision, rowKeys(rows))
+		n.replicas[t].setHistoryStart(revision) // before peers can see the new revision
+	}
 	if !n.applyState(t, changes, revision, allRows) {
 		return 0, ErrStore.New("the store answered with era %d after a later one", revision.Era())
 	}
@@ -232,6 +238,9 @@
 	if len(applied) > 0 {
 		defer n.stateChanged.wake()
 	}
+	if t == TableOperator {
+		n.evacuationsFirst(applied)
+	}
 	for _, c := range applied {
 		if t == TableOperator {
 			n.applyOperatorRow(c)
@@ -241,7 +250,23 @@
 	}
 }
 
+// evacuationsFirst moves evacuations before other changes. With the configuration, the node
+// begins to send requests and opens its gate.
+func (n *Node) evacuationsFirst(changes []Change) {
+	order := func(c Change) int {
+		if _, ok := n.platform.EvacuatedDomain(c.Key); ok {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int { return cmp.Compare(order(a), order(b)) })
+}
+
 func (n *Node) applyOperatorRow(c Change) {
+	if domain, ok := n.platform.EvacuatedDomain(c.Key); ok {
+		n.step(proxy.EvacuationSeen{Domain: domain, Revision: uint64(c.Revision), Removed: c.Deleted})
+		return
+	}
 	if c.Deleted {
 		return // a configuration or an order of a roll-out stays in force until it is replaced by another
 	}
