Add the reducers of quotas over all hosts

A limit of a tenant that every host applies by itself admits as many times the limit as there are hosts. Package quota divides the limit into shares: the limiter of each host admits by a token bucket at its share, and a coordinator, which holds a lease on a row, grants the shares so that their sum never exceeds the limit. A returned token is credited only as far as the bucket would hold it had the request never been admitted; returning all of them let a window exceed the rule by a second's rate. A released bonus is granted again only after a window, as the bucket of a new holder starts with it.

Ruled out: targets strictly proportional to demand.

--- /dev/null
+++ b/internal/quota/limiter.go
@@ -0,0 +1,393 @@
+package quota
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/catalog"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const (
+	// demandTime is the time constant of the moving average of a tenant's demand.
+	demandTime = 8 * time.Second
+	// minDemand is the demand in thousandths of a request per second below which a tenant
+	// is left out of reports. One request decays to it within about 25 s.
+	minDemand = 5
+	// demandChange is the relative change of a tenant's demand that hastens the next
+	// report. Changes of less than minDemandChange thousandths of a request per second
+	// do not.
+	demandChange    = 0.25
+	minDemandChange = 500
+
+	// reportInterval, shortInterval and urgentInterval are the times between reports in
+	// general, if a share is to change, and if a tenant has no share. With more than
+	// fullRateHosts hosts they grow in proportion up to maxReportInterval, which leaves a
+	// share valid if one report is lost.
+	reportInterval    = 3 * time.Second
+	shortInterval     = time.Second
+	urgentInterval    = 100 * time.Millisecond
+	maxReportInterval = 5 * time.Second
+	fullRateHosts     = 100
+	// answerTimeout is the time after which a report counts as lost.
+	answerTimeout = 500 * time.Millisecond
+)
+
+// Verdict is the decision about a request.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Admitted means that the request may be sent. Its end must be reported by Refund or
+	// Complete.
+	Admitted Verdict = iota + 1
+	// Refused means that the tenant exceeds its limit.
+	Refused
+	// Pending means that the host has no share yet and its floor is used up.
+	Pending
+)
+
+// Decision is the answer of Admit.
+type Decision struct {
+	Verdict Verdict
+	// Floor is set if the request was admitted by the floor.
+	Floor bool
+	// RetryAfter is the time until the bucket has a token, for a refused request.
+	RetryAfter time.Duration
+}
+
+// Charge identifies the bucket that has admitted a request. The zero value stands for
+// none.
+type Charge struct {
+	tenant mesh.Tenant
+	floor  bool
+}
+
+// ChargeOf returns the charge of an admitted request.
+func ChargeOf(tenant mesh.Tenant, d Decision) Charge { return Charge{tenant, d.Floor} }
+
+// tenantBucket is the state of one limited tenant at this host.
+type tenantBucket struct {
+	id         ID
+	limit      catalog.Quota
+	share      Parts
+	bonus      Parts
+	validUntil mesh.Time // of the share; zero if the host has none
+	shared     bucket
+	floor      bucket
+
+	demand   float64 // requests per second at demandAt
+	demandAt mesh.Time
+	reported uint32 // demand in the latest report
+	// deniedAt is the time of the latest answer that gave no share, zero if none has.
+	deniedAt mesh.Time
+}
+
+// Limiter admits the requests of limited tenants at one host. It is not safe for
+// concurrent use. Its memory is bounded by the number of tenants.
+type Limiter struct {
+	host        mesh.HostID
+	incarnation mesh.Incarnation
+	bounds      Bounds
+	hosts       int // known hosts, at least one
+	started     mesh.Time
+	tenants     map[mesh.Tenant]*tenantBucket
+	byID        map[ID][]*tenantBucket
+
+	term     uint64 // highest known term
+	sequence uint64
+	sentAt   mesh.Time // time of the latest report, zero for none
+	answered bool      // the latest report was answered by a coordinator
+	// answeredAt is the time of the latest answer of a coordinator.
+	answeredAt mesh.Time
+	soon       bool      // a share is to change
+	urgent     bool      // a request waits for a first share
+	notAfter   mesh.Time // latest time of the next report as set by Expedite, zero for none
+}
+
+// NewLimiter returns a limiter without shares.
+func NewLimiter(now mesh.Time, host mesh.HostID, incarnation mesh.Incarnation, bounds Bounds) *Limiter {
+	return &Limiter{host: host, incarnation: incarnation, bounds: bounds, hosts: 1, started: now,
+		tenants: make(map[mesh.Tenant]*tenantBucket), byID: make(map[ID][]*tenantBucket)}
+}
+
+// SetHosts sets the number of known hosts, including this one.
+func (l *Limiter) SetHosts(hosts int) { l.hosts = max(hosts, 1) }
+
+// Configure sets the limits of all tenants. A lower limit takes effect immediately.
+func (l *Limiter) Configure(now mesh.Time, tenants []catalog.Tenant) {
+	limited := make(map[mesh.Tenant]bool, len(tenants))
+	for i := range tenants {
+		if t := &tenants[i]; t.Quota.Limited() {
+			limited[t.Name] = true
+			l.tenant(now, t.Name, t.Quota)
+		}
+	}
+	maps.DeleteFunc(l.tenants, func(name mesh.Tenant, _ *tenantBucket) bool { return !limited[name] })
+	clear(l.byID)
+	for _, t := range l.tenants {
+		l.byID[t.id] = append(l.byID[t.id], t)
+	}
+}
+
+// tenant returns the state of a tenant at the given time under the given limit.
+func (l *Limiter) tenant(now mesh.Time, name mesh.Tenant, limit catalog.Quota) *tenantBucket {
+	t := l.tenants[name]
+	if t == nil {
+		t = &tenantBucket{id: IDOf(name), limit: limit, demandAt: now, shared: bucket{at: now}, floor: bucket{at: l.started}}
+		l.tenants[name] = t
+		l.byID[t.id] = append(l.byID[t.id], t)
+	}
+	l.advance(now, t)
+	if t.limit != limit {
+		t.limit = limit
+		t.shared.clamp(l.capacity(t))
+	}
+	return t
+}
+
+// capacity returns the capacity of the bucket of the share.
+func (l *Limiter) capacity(t *tenantBucket) float64 {
+	return t.share.of(t.limit.Burst) + t.bonus.of(l.bounds.bonus(t.limit))
+}
+
+// floorPart returns this host's part of the floor in a window.
+func (l *Limiter) floorPart(t *tenantBucket) float64 {
+	return floorFraction * l.bounds.slack(t.limit) / float64(l.hosts)
+}
+
+// advance refills the buckets until now and ends a share that has expired.
+func (l *Limiter) advance(now mesh.Time, t *tenantBucket) {
+	if t.share > 0 {
+		t.shared.advance(min(now, t.validUntil), t.share.of(t.limit.RatePerSecond), l.capacity(t))
+		if now >= t.validUntil {
+			l.dropShare(now, t)
+		}
+	}
+	half := l.floorPart(t) / 2
+	t.floor.advance(now, half/l.bounds.Window.Seconds(), half)
+}
+
+func (l *Limiter) dropShare(now mesh.Time, t *tenantBucket) {
+	t.share, t.bonus, t.validUntil = 0, 0, 0
+	t.shared.restart(now, 0)
+}
+
+// Admit decides on a request of a tenant with a limit.
+func (l *Limiter) Admit(now mesh.Time, name mesh.Tenant, limit catalog.Quota) Decision {
+	t := l.tenant(now, name, limit)
+	t.decayDemand(now)
+	t.demand += 1 / demandTime.Seconds()
+	return l.decide(now, t)
+}
+
+// Readmit decides again on a request for which Admit has returned Pending.
+func (l *Limiter) Readmit(now mesh.Time, name mesh.Tenant, limit catalog.Quota) Decision {
+	return l.decide(now, l.tenant(now, name, limit))
+}
+
+func (l *Limiter) decide(now mesh.Time, t *tenantBucket) Decision {
+	if t.share > 0 {
+		if t.shared.take() {
+			return Decision{Verdict: Admitted}
+		}
+		return Decision{Verdict: Refused, RetryAfter: l.timeToToken(t)}
+	}
+	if t.floor.take() {
+		return Decision{Verdict: Admitted, Floor: true}
+	}
+	if t.deniedAt == 0 || now.Sub(t.deniedAt) >= shortInterval {
+		l.urgent = true
+	}
+	return Decision{Verdict: Pending}
+}
+
+// maxRetryAfter bounds the time that a refused client is asked to wait.
+const maxRetryAfter = 30 * time.Second
+
+// timeToToken returns the time until the bucket of the share has a token.
+func (l *Limiter) timeToToken(t *tenantBucket) time.Duration {
+	seconds := (1 - t.shared.level) / t.share.of(t.limit.RatePerSecond)
+	return min(max(time.Duration(math.Ceil(seconds*1000))*time.Millisecond, time.Millisecond), maxRetryAfter)
+}
+
+// Refund returns the token of a request that ended without having run.
+func (l *Limiter) Refund(now mesh.Time, c Charge) {
+	t := l.tenants[c.tenant]
+	if t == nil {
+		return
+	}
+	l.advance(now, t)
+	t.bucketOf(c).refund()
+}
+
+// Complete ends a request that has run or may have run.
+func (l *Limiter) Complete(c Charge) {
+	if t := l.tenants[c.tenant]; t != nil {
+		t.bucketOf(c).complete()
+	}
+}
+
+func (t *tenantBucket) bucketOf(c Charge) *bucket {
+	if c.floor {
+		return &t.floor
+	}
+	return &t.shared
+}
+
+func (t *tenantBucket) decayDemand(now mesh.Time) {
+	if dt := now.Sub(t.demandAt); dt > 0 {
+		t.demand *= math.Exp(-dt.Seconds() / demandTime.Seconds())
+		t.demandAt = now
+	}
+}
+
+// demandMillis returns the demand in thousandths of a request per second, zero if it is
+// below minDemand.
+func (t *tenantBucket) demandMillis(now mesh.Time) uint32 {
+	t.decayDemand(now)
+	v := min(t.demand*1000, math.MaxUint32/2)
+	if v < minDemand {
+		return 0
+	}
+	return uint32(v)
+}
+
+// Expedite asks for a report by the given time.
+func (l *Limiter) Expedite(at mesh.Time) {
+	if l.notAfter == 0 || at < l.notAfter {
+		l.notAfter = at
+	}
+}
+
+// NextReport returns the time at which the next report is due.
+func (l *Limiter) NextReport(now mesh.Time) mesh.Time {
+	if l.sentAt == 0 {
+		return now
+	}
+	if !l.answered && now.Sub(l.sentAt) < answerTimeout {
+		return l.sentAt.Add(answerTimeout)
+	}
+	interval := reportInterval
+	switch {
+	case l.urgent && l.answered:
+		interval = urgentInterval
+	case l.urgent || l.soon || !l.answered || l.demandChanged(now):
+		interval = shortInterval
+	}
+	due := l.sentAt.Add(l.scaled(interval))
+	if l.notAfter > 0 {
+		due = min(due, max(l.notAfter, l.sentAt.Add(urgentInterval)))
+	}
+	return due
+}
+
+func (l *Limiter) scaled(interval time.Duration) time.Duration {
+	if l.hosts <= fullRateHosts {
+		return interval
+	}
+	return min(interval*time.Duration(l.hosts)/fullRateHosts, maxReportInterval)
+}
+
+// demandChanged reports whether the demand of a tenant differs from the last report.
+func (l *Limiter) demandChanged(now mesh.Time) bool {
+	if now.Sub(l.sentAt) < shortInterval {
+		return false // no report is due anyway
+	}
+	for _, t := range l.tenants {
+		change := math.Abs(float64(t.demandMillis(now)) - float64(t.reported))
+		if change > minDemandChange && change > demandChange*float64(t.reported) {
+			return true
+		}
+	}
+	return false
+}
+
+// Report returns the report to be sent now. Answers to earlier ones are ignored from now
+// on.
+func (l *Limiter) Report(now mesh.Time) Report {
+	l.sequence++
+	l.sentAt, l.answered, l.urgent, l.notAfter = now, false, false, 0
+	r := Report{Host: l.host, Incarnation: l.incarnation, Sequence: l.sequence, Term: l.term}
+	for _, t := range l.tenants {
+		l.advance(now, t)
+		t.reported = t.demandMillis(now)
+		if t.reported == 0 && t.share == 0 {
+			continue
+		}
+		e := Entry{Tenant: t.id, Demand: t.reported, Share: t.share, Bonus: t.bonus}
+		if t.share > 0 {
+			e.LeftMillis = uint32(t.validUntil.Sub(now).Milliseconds()) + 1
+		}
+		r.Entries = append(r.Entries, e)
+	}
+	slices.SortFunc(r.Entries, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(a.Tenant, b.Tenant), cmp.Compare(b.Share, a.Share), cmp.Compare(b.Demand, a.Demand))
+	})
+	r.Entries = slices.CompactFunc(r.Entries, func(a, b Entry) bool { return a.Tenant == b.Tenant })
+	return r
+}
+
+// SeeTerm records that a term has begun. Grants of lower terms are ignored from now on.
+func (l *Limiter) SeeTerm(term uint64) { l.term = max(l.term, term) }
+
+// ApplyGrant applies the answer to the latest report. It reports whether it was applied.
+func (l *Limiter) ApplyGrant(now mesh.Time, g *Grant) bool {
+	if g.Term == 0 || g.Term < l.term || g.Sequence != l.sequence || l.answered {
+		return false
+	}
+	l.term, l.answered, l.answeredAt, l.soon = g.Term, true, now, g.Soon
+	validUntil := l.sentAt.Add(shareValidity)
+	if now >= validUntil {
+		return false
+	}
+	for _, s := range g.Shares {
+		for _, t := range l.byID[s.Tenant] {
+			l.applyShare(now, t, s, validUntil)
+		}
+	}
+	return true
+}
+
+func (l *Limiter) applyShare(now mesh.Time, t *tenantBucket, s TenantGrant, validUntil mesh.Time) {
+	l.advance(now, t)
+	if s.Share == 0 || s.Share > Whole || s.Bonus > Whole {
+		t.deniedAt = now
+		if t.share > 0 {
+			l.dropShare(now, t)
+		}
+		return
+	}
+	started := t.share == 0
+	t.share, t.bonus, t.validUntil, t.deniedAt = s.Share, s.Bonus, validUntil, 0
+	if started {
+		t.shared.restart(now, t.bonus.of(l.bounds.bonus(t.limit)))
+	}
+	t.shared.clamp(l.capacity(t)) // a larger share raises the capacity but not the level
+}
+
+// Status describes the limiter for logs and metrics.
+type Status struct {
+	Term   uint64
+	Shares int // tenants for which the host holds a valid share
+	// OnFloor is set if the host has had no answer for the validity of a share while it
+	// had requests of limited tenants.
+	OnFloor bool
+}
+
+// Status returns the status at the given time.
+func (l *Limiter) Status(now mesh.Time) Status {
+	s := Status{Term: l.term}
+	demand := false
+	for _, t := range l.tenants {
+		if t.share > 0 && now < t.validUntil {
+			s.Shares++
+		}
+		demand = demand || t.demandMillis(now) > 0
+	}
+	s.OnFloor = demand && s.Shares == 0 && now.Sub(max(l.answeredAt, l.started)) >= shareValidity
+	return s
+}
--- /dev/null
+++ b/internal/quota/types.go
@@ -0,0 +1,115 @@
+// Package quota bounds the requests of a tenant over all hosts. Each host holds a share
+// of the tenant's limit and admits requests by a token bucket that refills at this share
+// of the limit. One host, the coordinator, grants the shares so that their sum never
+// exceeds the limit. All types are pure reducers: time comes with each call, from a clock
+// that advances while the host is suspended.
+package quota
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/chicoryscale/chicoryscale/internal/catalog"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+const (
+	// shareValidity is the time for which a share may be used, from the moment at which
+	// the host sent the report that the grant answers.
+	shareValidity = 12 * time.Second
+	// reservationTime is the time after a grant for which the coordinator counts the
+	// share as in use if the host sends no report. It exceeds shareValidity, so that clocks
+	// of different speed do no harm.
+	reservationTime = 13 * time.Second
+	// maxEntries bounds the tenants of a report.
+	maxEntries = 4096
+)
+
+// Parts is a fraction in millionths. Integers keep the sums of shares exact.
+type Parts uint32
+
+// Whole is the fraction 1.
+const Whole Parts = 1_000_000
+
+func (p Parts) of(v float64) float64 { return v * float64(p) / float64(Whole) }
+
+// Bounds state by how much the requests of a tenant may exceed its limit: in any Window,
+// a limit of rate r and burst b allows (r × Window + b) × (1 + Overshoot) + Slack.
+type Bounds struct {
+	Window    time.Duration
+	Overshoot float64
+	Slack     float64
+}
+
+// DefaultBounds apply where the settings state none.
+var DefaultBounds = Bounds{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+
+// Allowed returns the number of requests allowed in a window.
+func (b Bounds) Allowed(q catalog.Quota) float64 {
+	return (q.RatePerSecond*b.Window.Seconds()+q.Burst)*(1+b.Overshoot) + b.Slack
+}
+
+// slack returns the number of requests by which a window may exceed rate and burst.
+func (b Bounds) slack(q catalog.Quota) float64 {
+	return b.Overshoot*(q.RatePerSecond*b.Window.Seconds()+q.Burst) + b.Slack
+}
+
+const (
+	// bonusFraction is the fraction of the slack that the hosts with a share use as
+	// additional capacity of their buckets, and floorFraction the fraction that the hosts
+	// without a share use.
+	bonusFraction = 0.5
+	floorFraction = 0.25
+)
+
+// bonus returns the additional capacity of all hosts with a share together, in tokens.
+func (b Bounds) bonus(q catalog.Quota) float64 { return bonusFraction * b.slack(q) }
+
+// ID is a hash of a tenant's name. If the hashes of two tenants are the same, both get the
+// shares that suit the demand of one of them; neither exceeds its limit.
+type ID uint32
+
+// IDOf returns the ID of a tenant.
+func IDOf(tenant mesh.Tenant) ID { return ID(xxhash.Sum64String(string(tenant))) }
+
+// Report is what a host tells the coordinator.
+type Report struct {
+	Host        mesh.HostID
+	Incarnation mesh.Incarnation
+	// Sequence numbers the reports of the process. The host ignores answers to all reports
+	// but the latest.
+	Sequence uint64
+	// Term is the highest term that the host knows.
+	Term    uint64
+	Entries []Entry
+}
+
+// Entry is the part of a report about one tenant. A report that lacks a tenant confirms
+// that the host holds no share and has no demand.
+type Entry struct {
+	Tenant ID
+	// Demand is the demand at the host in thousandths of a request per second.
+	Demand uint32
+	// Share and Bonus are the fractions of the limit and of the bonus that the host
+	// holds. They are valid for another LeftMillis milliseconds.
+	Share, Bonus Parts
+	LeftMillis   uint32
+}
+
+// Grant is the answer to a report. A Term of zero states that the host that answers is
+// not the coordinator.
+type Grant struct {
+	Term     uint64
+	Sequence uint64 // of the report
+	// Soon asks the host for its next report after shortInterval, because a share is to
+	// change.
+	Soon   bool
+	Shares []TenantGrant
+}
+
+// TenantGrant is the share of one tenant. A Share of zero takes the share away.
+type TenantGrant struct {
+	Tenant       ID
+	Share, Bonus Parts
+}
