Admit the requests of tenants by their quotas

Cause: the configuration states a rate and a burst for a tenant, but no code applied them. Change: the entry node admits a request by the shares of package quota after the key check. Beyond the quota the client gets 429 with the time until the bucket has a token. A request at a host without a share waits up to 250 ms for the coordinator's answer, then gets 503. A call that ends as not run returns its token. The coordinator's row quota/coordinator goes through the replica of the shared table, whose readers pause for 1 s instead of 3 s between reads while tenants have limits, so that hosts learn of a new coordinator before their shares expire. Reports go over net/rpc as Peer.Quota. The settings QuotaWindowS, QuotaOvershoot and QuotaSlack hold the bounds. The clock of the reducers is now CLOCK_BOOTTIME, so that no lease outlasts a suspension; timers on a deadline of a reducer convert it at the time of use. Ruled out: a clock of its own for the quotas, as a reducer with two clocks could compare times of different ones. Deployments without limits send no reports and write no row (TestTenantsWithoutLimitCauseNoQuotaTraffic).

--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -153,6 +153,11 @@
 	ReasonRetryBudget
 	// ReasonUnknownKey means that the request's key belongs to no tenant.
 	ReasonUnknownKey
+	// ReasonQuota means that the tenant exceeds its quota.
+	ReasonQuota
+	// ReasonNoShare means that the node has no share of the tenant's quota yet, so that it
+	// can't tell whether the request exceeds it.
+	ReasonNoShare
 	reasonCount
 )
 
@@ -172,6 +177,8 @@
 	ReasonBadRequest:       "bad-request",
 	ReasonRetryBudget:      "retry-budget",
 	ReasonUnknownKey:       "unknown-key",
+	ReasonQuota:            "quota",
+	ReasonNoShare:          "no-share",
 }
 
 // String returns the reason as written in the Chicory-Reason header.
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -8,6 +8,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 )
 
 const (
@@ -55,6 +56,7 @@
 	service     mesh.Service
 	caller      mesh.Service    // the service of this host when the call arrived
 	tenant      *catalog.Tenant // nil for a call without a key
+	charge      quota.Charge    // to the tenant's quota
 	arrived     mesh.Time
 	deadline    mesh.Time
 	targetAt    mesh.Time // time of the route's latency target
@@ -93,7 +95,7 @@
 		n.holdForConfig(s, e)
 		return
 	}
-	n.beginCall(s, e)
+	n.beginCall(s, e, 0)
 }
 
 // heldCall is a request that waits for the first configuration of the node.
@@ -122,7 +124,7 @@
 		if w.Budget > 0 {
 			w.Budget -= s.now.Sub(w.arrived)
 		}
-		n.beginCall(s, w.CallArrived)
+		n.beginCall(s, w.CallArrived, 0)
 	}
 }
 
@@ -134,8 +136,9 @@
 	}
 }
 
-// beginCall starts a request at a node that has a configuration.
-func (n *Node) beginCall(s *step, e CallArrived) {
+// beginCall starts a request at a node that has a configuration. waitsSince is the time
+// since which it has waited for a share of its tenant's quota, zero if it has not waited.
+func (n *Node) beginCall(s *step, e CallArrived, waitsSince mesh.Time) {
 	route := n.config.Match(e.Host, e.Path)
 	if route == nil {
 		n.rejectNew(s, e.Call, mesh.ReasonNoRoute, 0)
@@ -163,9 +166,13 @@
 		})
 		return
 	}
+	charge, admitted := n.admitToQuota(s, &e, tenant, waitsSince)
+	if !admitted {
+		return
+	}
 	c := &call{
 		id: e.Call, route: route, service: n.destination(s, route), caller: n.settings.Service, arrived: s.now,
-		fingerprint: e.Fingerprint, suspicion: check.Suspicion, tenant: tenant,
+		fingerprint: e.Fingerprint, suspicion: check.Suspicion, tenant: tenant, charge: charge,
 	}
 	c.probeLimit = n.table.ProbeCount(s.now, s.random.Next(), c.service, probesBeforeQueue)
 	c.deadline = s.now.Add(limit)
@@ -353,6 +360,7 @@
 
 func (n *Node) respond(s *step, c *call) {
 	n.counters.Answered++
+	n.endCharge(s, c, true)
 	s.out.Calls = append(s.out.Calls, CallEffect{Call: c.id, Action: CallRespond, Attempt: c.attempt, Outcome: mesh.Answered})
 	delete(n.calls, c.id)
 }
@@ -360,6 +368,7 @@
 // endWithoutAnswer rejects a call. Its outcome is may-have-run if an instance may have
 // run any of its attempts.
 func (n *Node) endWithoutAnswer(s *step, c *call, reason mesh.Reason) {
+	n.endCharge(s, c, c.possibleRuns > 0)
 	effect := CallEffect{Call: c.id, Action: CallReject, Outcome: mesh.NotRun, Reason: reason}
 	if c.possibleRuns > 0 {
 		effect.Outcome = mesh.MayHaveRun
@@ -393,9 +402,11 @@
 	c := n.calls[e.Call]
 	if c == nil {
 		n.heldCalls = slices.DeleteFunc(n.heldCalls, func(w heldCall) bool { return w.Call == e.Call })
+		n.waitingCalls = slices.DeleteFunc(n.waitingCalls, func(w waitingCall) bool { return w.Call == e.Call })
 		return
 	}
 	n.counters.Cancelled++
+	n.endCharge(s, c, c.possibleRuns > 0 || c.inFlight)
 	if c.inFlight {
 		n.table.Done(s.now, c.choice, placement.Result{})
 	}
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -19,6 +19,7 @@
 	n.rejectExpiredHeldCalls(s)
 	n.poison.Expire(s.now)
 	n.tickRollouts(s)
+	n.tickQuota(s)
 }
 
 // tickRollouts advances the roll-outs that this host drives and reports evidence to
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -6,6 +6,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
 )
 
@@ -205,6 +206,11 @@
 	Probes     []InstanceProbe
 	Evidence   []EvidenceReport
 	Writes     []rollout.Write
+	// QuotaReports are reports to be sent to the coordinator of the quotas, and QuotaWrites
+	// writes of its row. QuotaGrant is the answer to a QuotaReported.
+	QuotaReports []QuotaReport
+	QuotaWrites  []quota.RowWrite
+	QuotaGrant   quota.Grant
 	// Removals are hosts whose rows are to be removed.
 	Removals []mesh.HostID
 	// Announce is set when the record of this host has changed and is to be published.
@@ -218,6 +224,7 @@
 func (r *Ready) Reset() {
 	r.Calls, r.Gates, r.LogRecords = r.Calls[:0], r.Gates[:0], r.LogRecords[:0]
 	r.Checks, r.Probes, r.Evidence, r.Writes = r.Checks[:0], r.Probes[:0], r.Evidence[:0], r.Writes[:0]
+	r.QuotaReports, r.QuotaWrites, r.QuotaGrant = r.QuotaReports[:0], r.QuotaWrites[:0], quota.Grant{}
 	r.Removals, r.Announce, r.MembersChanged = r.Removals[:0], false, false
 }
 
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -11,6 +11,7 @@
 package proxy
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/admission"
@@ -18,6 +19,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/random"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
@@ -38,6 +40,9 @@
 	Incarnation mesh.Incarnation
 	// Repeats is the retry budget that all nodes of the deployment share.
 	Repeats retry.WindowBudget
+	// Quota states by how much tenants may exceed their quotas. The zero value stands for
+	// quota.DefaultBounds.
+	Quota quota.Bounds
 }
 
 // Node is the reducer of one sidecar.
@@ -57,10 +62,14 @@
 	splits        map[mesh.Route]*trafficSplit
 	maxClientTime map[mesh.Route]time.Duration // largest CallArrived.Budget of each route so far
 
-	heldCalls   []heldCall // requests that wait for the first configuration, oldest first
-	calls       map[mesh.CallID]*call
-	gateCalls   map[mesh.CallID]*gateCall
-	gateEffects []admission.Effect
+	heldCalls    []heldCall // requests that wait for the first configuration, oldest first
+	quota        *quota.Node
+	quotaEffects quota.Effects // of the current step; reused
+	// waitingCalls are requests that wait for a share of their tenant's quota, oldest first.
+	waitingCalls []waitingCall
+	calls        map[mesh.CallID]*call
+	gateCalls    map[mesh.CallID]*gateCall
+	gateEffects  []admission.Effect
 
 	self    Member
 	members map[mesh.HostID]*memberState
@@ -112,6 +121,7 @@
 		forgotten:      make(map[mesh.HostID]forgottenHost),
 		firstAnnounced: make(map[mesh.InstanceID]mesh.Time),
 		started:        now,
+		quota:          quota.NewNode(now, s.Host, s.Incarnation, cmp.Or(s.Quota, quota.DefaultBounds)),
 	}
 	n.self = Member{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr,
@@ -156,7 +166,7 @@
 
 // Idle reports whether no request is in progress.
 func (n *Node) Idle() bool {
-	return len(n.heldCalls) == 0 && len(n.calls) == 0 && len(n.gateCalls) == 0
+	return len(n.heldCalls) == 0 && len(n.waitingCalls) == 0 && len(n.calls) == 0 && len(n.gateCalls) == 0
 }
 
 // Config returns the configuration in force, nil if none is known.
@@ -205,6 +215,7 @@
 	}
 	n.splits = keptSplits
 	n.routeWindows = keptWindows
+	n.quota.Configure(s.now, e.Snapshot.Tenants)
 	s.log("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
 	n.probePredecessorInstance(s)
 	n.confirmReport(s)
--- /dev/null
+++ b/internal/quota/failure_test.go
@@ -0,0 +1,123 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/chicoryscale/chicoryscale/internal/catalog"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+)
+
+var oneTenant = []catalog.Tenant{{Name: "one", Quota: catalog.Quota{RatePerSecond: 40, Burst: 80}}}
+
+// settledSimulation returns a simulation in which three hosts hold shares of a tenant.
+func settledSimulation(seed uint64) (*simulation, map[mesh.Tenant]int) {
+	s := newSimulation(seed, 8, oneTenant)
+	on := map[mesh.Tenant]int{"one": 3}
+	s.serve(20*time.Second, 2, on)
+	return s, on
+}
+
+// Guards against holders of shares that refuse requests because the coordinator was
+// killed: the next one takes over before their shares expire.
+func TestSharesOutlastTheCoordinator(t *testing.T) {
+	is := is.New(t)
+	s, on := settledSimulation(1)
+	term := s.row.Term
+	s.kill(s.host(s.row.Host))
+	o := s.serve(40*time.Second, 2, on)["one"]
+	t.Logf("%+v", *o)
+	is.True(s.row.Term > term)
+	is.True(o.refused <= o.ideal+o.sent/200)
+}
+
+// Guards against a host that was frozen past the validity of its share and uses it when
+// it wakes up, while other hosts hold the whole limit.
+func TestFrozenHostDropsItsShare(t *testing.T) {
+	is := is.New(t)
+	s, on := settledSimulation(2)
+	frozen := s.hosts[2]
+	share := frozen.node.limiter.tenants["one"].share
+	is.True(share > 0)
+	frozen.frozenUntil = s.now.Add(20 * time.Second)
+	s.serve(20*time.Second, 3, map[mesh.Tenant]int{"one": 2})
+	is.True(s.sharesInUse("one") > Whole-share/2) // the others have got it
+	_, held := frozen.node.lease.Holds(s.now)
+	is.True(!held)
+	d := frozen.node.Admit(s.now, &s.tenants[0])
+	is.True(d.Verdict != Admitted || d.Floor)
+	s.serve(20*time.Second, 2, on)
+	is.True(frozen.node.limiter.tenants["one"].share > 0)
+	is.True(float64(s.worstWindow("one", 0)) <= DefaultBounds.Allowed(s.tenants[0].Quota))
+}
+
+// Guards against a limit that is lowered while the store is away and that holders of
+// shares apply late, or that lets a window exceed the rule when shares expire and the
+// store comes back.
+func TestLimitIsLoweredWhileTheStoreIsAway(t *testing.T) {
+	is := is.New(t)
+	s, on := settledSimulation(3)
+	s.storeUp = false
+	s.step()
+	s.lowerLimits(0.1) // hosts get configurations from each other
+	lowered := s.now.Add(1)
+	// The demand is ten times what the new limit allows.
+	high := []catalog.Tenant{oneTenant[0]}
+	flood := func(d time.Duration) {
+		for end := s.now.Add(d); s.now < end; {
+			s.step()
+			for range s.poisson(high[0].Quota.RatePerSecond * simStep.Seconds()) {
+				s.request(s.hosts[2+s.random.IntN(3)], &s.tenants[0], 200*ms, false)
+			}
+		}
+	}
+	flood(25 * time.Second)
+	is.Equal(s.sharesInUse("one"), Parts(0)) // all have expired
+	s.storeUp = true
+	flood(25 * time.Second)
+	is.True(s.sharesInUse("one") > Whole*3/4)
+	is.True(float64(s.worstWindow("one", lowered)) <= DefaultBounds.Allowed(s.tenants[0].Quota))
+	before := s.refused["one"] + s.noShare["one"]
+	o := s.serve(30*time.Second, 2, on)["one"] // back within the lower limit
+	t.Logf("%+v, refused before %d", *o, before)
+	is.True(o.refused <= o.ideal+o.sent/10)
+}
+
+// Guards against a row that names no holder, or that was removed, and that no host
+// replaces.
+func TestRowWithoutHolderIsReplaced(t *testing.T) {
+	is := is.New(t)
+	now := simStart
+	l := NewLease(now, "a", 5)
+	w, due := l.Takeover(now, 0)
+	is.True(due) // there has been no coordinator
+	is.Equal(w, RowWrite{Row: Row{Host: "a", Incarnation: 5, Term: 1, Beat: 1}})
+	l.ApplyRow(now, Row{Revision: 7, Term: 9})
+	_, due = l.Takeover(now.Add(takeoverTimeout-1), 0)
+	is.True(!due)
+	_, due = l.Takeover(now.Add(takeoverTimeout), 1)
+	is.True(!due) // another host is first
+	now = now.Add(takeoverTimeout)
+	w, due = l.Takeover(now, 0)
+	is.True(due)
+	is.Equal(w.Expect, uint64(7))
+	is.Equal(w.Row.Term, uint64(10))
+	l.ApplyRow(now, Row{})
+	now = now.Add(takeoverTimeout)
+	w, due = l.Takeover(now, 0)
+	is.True(due)
+	is.Equal(w.Expect, uint64(0))
+	w.Row.Revision = 1
+	l.ApplyRow(now.Add(100*ms), w.Row)
+	term, held := l.Holds(now.Add(leaseTime - 1))
+	is.True(held && term == 10)
+	_, held = l.Holds(now.Add(leaseTime)) // counted from the sending of the write
+	is.True(!held)
+	// The next process on the same host doesn't wait.
+	next := NewLease(now, "a", 6)
+	next.ApplyRow(now, w.Row)
+	_, due = next.Takeover(now, 0)
+	is.True(due)
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -194,7 +194,7 @@
 }
 
 // wallTime converts a time of the reducer to a time.Time.
-func (n *Node) wallTime(t mesh.Time) time.Time { return n.started.Add(t.Sub(n.startTime)) }
+func (n *Node) wallTime(t mesh.Time) time.Time { return time.Now().Add(t.Sub(n.now())) }
 
 // respond sends the instance's answer to the client. If the connection to the gate fails
 // while the answer arrives, the client's connection is closed before the stated
@@ -233,7 +233,7 @@
 	return status
 }
 
-// rejectStatus returns the HTTP status for a rejected request. 503 promises that the
+// rejectStatus returns the HTTP status for a rejected request. 429 and 503 promise that the
 // request has not run; 502 and 504 promise nothing.
 func rejectStatus(outcome mesh.Outcome, reason mesh.Reason) int {
 	switch {
@@ -245,6 +245,8 @@
 		return http.StatusNotFound
 	case reason == mesh.ReasonUnknownKey:
 		return http.StatusUnauthorized
+	case reason == mesh.ReasonQuota:
+		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 )
 
@@ -40,6 +41,8 @@
 	GracePeriod time.Duration
 	// Repeats is the retry budget. It covers the attempts of all nodes together.
 	Repeats retry.WindowBudget
+	// Quota states by how much tenants may exceed their quotas.
+	Quota quota.Bounds
 	// LinkMbps is the bandwidth of the host's link in Mbit/s.
 	LinkMbps int
 	// MemoryBytes is the memory that the process may use. If zero,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/membudget"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/upstream"
 )
 
@@ -41,8 +42,9 @@
 	log        *Log
 	metrics    *metrics
 	ioCounters ioCounters
-	started    time.Time     // with a monotonic clock reading
-	startTime  mesh.Time     // wall-clock time of started; later times add the monotonic clock
+	started    time.Time // with a monotonic clock reading
+	clock      clock
+	startTime  mesh.Time     // wall-clock time of started; later times add the time of clock
 	nextID     atomic.Uint64 // latest mesh.CallID given out
 
 	mu      sync.Mutex
@@ -58,6 +60,7 @@
 	announceDue   chan struct{} // signalled when this host's record has changed and its row may have to be written
 	notifyDue     chan struct{} // signalled when this host's record has changed and the readers of the store are to be notified
 	rolloutWrites chan rolloutWrite
+	quotaWrites   chan quota.RowWrite
 	// stateChanged wakes the long polls of the nodes that follow this one.
 	stateChanged broadcast
 	// following is set while this node follows a reader.
@@ -92,6 +95,11 @@
 		callEffects: make(map[mesh.CallID]chan proxy.CallEffect), gateEffects: make(map[mesh.CallID]chan proxy.GateEffect),
 		hostPools: make(map[string]*upstream.Pool), announceDue: make(chan struct{}, 1), notifyDue: make(chan struct{}, 1), rolloutWrites: make(chan rolloutWrite, rolloutQueueLen),
 	}
+	var err error
+	if n.clock, err = newClock(); err != nil {
+		return nil, err
+	}
+	n.quotaWrites = make(chan quota.RowWrite, 1)
 	n.startTime = mesh.Time(n.started.UnixNano())
 	n.bodyMemory = membudget.New(s.BodyMemoryBytes())
 	n.hostOpts = hostOptions(n.bodyMemory)
@@ -102,9 +110,8 @@
 	n.reducer = proxy.New(n.now(), proxy.Settings{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: cmp.Or(s.AdvertisedForward, s.ForwardAddr),
 		PeerAddr: cmp.Or(s.AdvertisedPeer, s.PeerAddr), LinkMbps: s.LinkMbps, Service: s.Service,
-		Incarnation: mesh.Incarnation(n.startTime), Repeats: s.Repeats,
+		Incarnation: mesh.Incarnation(n.startTime), Repeats: s.Repeats, Quota: s.Quota,
 	})
-	var err error
 	n.metrics, err = newMetrics(n)
 	return n, err
 }
@@ -127,9 +134,8 @@
 	}
 }
 
-// now returns the time for the reducer. It advances with the monotonic clock, so that a
-// jump of the wall clock does not shift timeouts.
-func (n *Node) now() mesh.Time { return n.startTime.Add(time.Since(n.started)) }
+// now returns the time for the reducer. A jump of the wall clock does not shift timeouts.
+func (n *Node) now() mesh.Time { return n.startTime.Add(n.clock.elapsed()) }
 
 // step passes one event to the reducer and executes the resulting effects.
 func (n *Node) step(ev proxy.Event) {
@@ -164,6 +170,12 @@
 	for i := range n.effects.Writes {
 		n.queueRolloutWrite(n.effects.Writes[i])
 	}
+	for i := range n.effects.QuotaReports {
+		n.peers.sendQuotaReport(n.effects.QuotaReports[i])
+	}
+	for i := range n.effects.QuotaWrites {
+		n.queueQuotaWrite(n.effects.QuotaWrites[i])
+	}
 	for _, host := range n.effects.Removals {
 		go n.removeRow(context.Background(), host)
 	}
@@ -259,6 +271,7 @@
 	go n.announce(ctx)
 	go n.notifyReaders(ctx)
 	go n.writeRollouts(ctx)
+	go n.writeQuotaRows(ctx)
 	go n.gossip(ctx)
 }
 
--- a/internal/sidecar/tablesync.go
+++ b/internal/sidecar/tablesync.go
@@ -39,6 +39,9 @@
 	// from its row, which the readers read from the store and the other nodes get from
 	// their peers.
 	rolloutPause = 300 * time.Millisecond
+	// quotaPause replaces sharedPause while tenants have quotas, so that the hosts learn of
+	// a new coordinator before their shares expire.
+	quotaPause = time.Second
 	// aloneTimeout is the time since the start after which a node that has found no
 	// other host assumes that it is the only one. Hosts that started at the same time
 	// should have announced themselves by then.
@@ -145,13 +148,15 @@
 // sharedRowsPause returns the pause after a read of the shared rows. Because of the pause,
 // rows of many hosts that change at about the same time are read with few calls.
 func (n *Node) sharedRowsPause() time.Duration {
-	alone, rollingOut := false, false
-	n.inspect(func(r *proxy.Node) { alone, rollingOut = r.Alone(), r.RollingOut() })
+	alone, rollingOut, quotas := false, false, false
+	n.inspect(func(r *proxy.Node) { alone, rollingOut, quotas = r.Alone(), r.RollingOut(), r.HasQuotas() })
 	switch {
 	case alone:
 		return alonePause
 	case rollingOut:
 		return rolloutPause
+	case quotas:
+		return quotaPause
 	}
 	return sharedPause
 }
@@ -253,6 +258,10 @@
 		n.applyMemberRow(mesh.HostID(host), c)
 		return
 	}
+	if c.Key == quotaRowKey {
+		n.applyQuotaRow(c)
+		return
+	}
 	service, ok := strings.CutPrefix(c.Key, rolloutPrefix)
 	if !ok || c.Deleted {
 		return
