Export the state and the decisions of the quotas as metrics

Cause: operators could not see whether a refusal is due to a quota, a missing share or a missing coordinator. Change: counters by reason of admission and refusal, of reports and grants, and gauges of shares, terms and the floor; all gauges are read by one callback. The lease also counts a renewal whose answer was lost once its row shows that it took effect, by the time at which that write was sent. Ruled out: labels with tenants' names, whose number the node doesn't control.

--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -173,7 +173,11 @@
 func (n *Node) Config() *catalog.Snapshot { return n.config }
 
 // Counters returns the counts since the start of the process.
-func (n *Node) Counters() Counters { return n.counters }
+func (n *Node) Counters() Counters {
+	c := n.counters
+	c.Quota = n.quota.Counters()
+	return c
+}
 
 // Counters count decisions since the start of the process.
 type Counters struct {
@@ -185,6 +189,7 @@
 	HostFailures, ConfigApplied                          uint64
 	UnknownKeys                                          uint64 // requests refused because no tenant holds their key
 	HeartbeatsAccepted, HeartbeatsIgnored, RolloutWrites uint64
+	Quota                                                quota.Counters
 }
 
 func (e StoreState) apply(n *Node, s *step) {
--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -170,12 +170,9 @@
 // HasQuotas reports whether some tenant has a quota.
 func (n *Node) HasQuotas() bool { return n.quota.Enabled() }
 
-// QuotaCounters returns the counts of decisions about quotas since the start of the
-// process.
-func (n *Node) QuotaCounters() quota.Counters { return n.quota.Counters() }
-
-// QuotaStatus returns the state of this host's shares, and the term in which this host
-// is the coordinator, zero if it isn't.
-func (n *Node) QuotaStatus(now mesh.Time) (status quota.Status, heldTerm uint64) {
-	return n.quota.Status(now), n.quota.HeldTerm()
-}
+// QuotaStatus returns the state of this host's shares.
+func (n *Node) QuotaStatus(now mesh.Time) quota.Status { return n.quota.Status(now) }
+
+// HeldQuotaTerm returns the term in which this host is the coordinator of the quotas,
+// zero if it isn't.
+func (n *Node) HeldQuotaTerm() uint64 { return n.quota.HeldTerm() }
--- a/internal/proxy/quota_test.go
+++ b/internal/proxy/quota_test.go
@@ -47,7 +47,7 @@
 		is.Equal(len(out.QuotaReports)+len(out.QuotaWrites), 0)
 		is.Equal(tn.keyedCall(id).Calls[0].Action, CallForward)
 	}
-	is.Equal(tn.node.QuotaCounters(), quota.Counters{})
+	is.Equal(tn.node.Counters().Quota, quota.Counters{})
 }
 
 // Guards against a host that doesn't read the store and takes a term, against a request
--- a/internal/quota/lease.go
+++ b/internal/quota/lease.go
@@ -48,8 +48,11 @@
 	highest     uint64    // highest term seen
 	written     Row       // latest write
 	writtenAt   mesh.Time // time of the latest write, zero for none
-	heldTerm    uint64    // term that this process holds or held last
-	renewedAt   mesh.Time // time at which the last successful write of heldTerm was sent
+	// sentAt holds the times of the latest writes, by beat modulo its length. An answer
+	// may be lost, and the row shows later that the write took effect.
+	sentAt    [8]mesh.Time
+	heldTerm  uint64    // term that this process holds or held last
+	renewedAt mesh.Time // time at which the last successful write of heldTerm was sent
 }
 
 // NewLease returns a lease of which no row is known.
@@ -84,8 +87,8 @@
 	}
 	l.row, l.seenAt = row, now
 	l.SeeTerm(row.Term)
-	if l.mine() && l.writtenAt != 0 && row.Term == l.written.Term && row.Beat == l.written.Beat {
-		l.heldTerm, l.renewedAt = row.Term, l.writtenAt
+	if l.mine() && row.Beat <= l.written.Beat && row.Beat+uint64(len(l.sentAt)) > l.written.Beat {
+		l.heldTerm, l.renewedAt = row.Term, l.sentAt[row.Beat%uint64(len(l.sentAt))]
 	}
 }
 
@@ -133,6 +136,6 @@
 
 func (l *Lease) write(now mesh.Time, term uint64) RowWrite {
 	l.written = Row{Host: l.host, Incarnation: l.incarnation, Term: term, Beat: max(l.row.Beat, l.written.Beat) + 1}
-	l.writtenAt = now
+	l.writtenAt, l.sentAt[l.written.Beat%uint64(len(l.sentAt))] = now, now
 	return RowWrite{Row: l.written, Expect: l.row.Revision}
 }
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 )
 
@@ -112,9 +113,49 @@
 	{"chicory.heartbeats", "{heartbeat}", "Heartbeats of the instance.", func(c *proxy.Counters) uint64 { return c.HeartbeatsAccepted }},
 	{"chicory.heartbeats.ignored", "{heartbeat}", "Heartbeats that were late or named no instance of the host.", func(c *proxy.Counters) uint64 { return c.HeartbeatsIgnored }},
 	{"chicory.keys.unknown", "{call}", "Requests refused because no tenant holds their key.", func(c *proxy.Counters) uint64 { return c.UnknownKeys }},
+	{"chicory.quota.admitted", "{call}", "Requests of tenants with a quota that a share admitted.", func(c *proxy.Counters) uint64 { return c.Quota.Admitted }},
+	{"chicory.quota.admitted_by_floor", "{call}", "Requests of tenants with a quota that were admitted without a share.", func(c *proxy.Counters) uint64 { return c.Quota.AdmittedByFloor }},
+	{"chicory.quota.refused", "{call}", "Requests refused with 429 because their tenant exceeds its quota.", func(c *proxy.Counters) uint64 { return c.Quota.Refused }},
+	{"chicory.quota.no_share", "{call}", "Requests refused with 503 because no share came in time.", func(c *proxy.Counters) uint64 { return c.Quota.NoShare }},
+	{"chicory.quota.waited", "{call}", "Requests that waited for a share.", func(c *proxy.Counters) uint64 { return c.Quota.Waited }},
+	{"chicory.quota.refunds", "{call}", "Admitted requests that ended without having run.", func(c *proxy.Counters) uint64 { return c.Quota.Refunds }},
+	{"chicory.quota.reports", "{report}", "Reports of demand and shares made by this node.", func(c *proxy.Counters) uint64 { return c.Quota.ReportsSent }},
+	{"chicory.quota.reports.handled", "{report}", "Reports that this node handled as the coordinator.", func(c *proxy.Counters) uint64 { return c.Quota.ReportsHandled }},
+	{"chicory.quota.grants", "{grant}", "Answers of the coordinator that this node applied.", func(c *proxy.Counters) uint64 { return c.Quota.Grants }},
+	{"chicory.quota.terms", "{term}", "Terms that this node has begun as the coordinator.", func(c *proxy.Counters) uint64 { return c.Quota.Terms }},
 	{"chicory.rollout.writes", "{row}", "Rows of roll-outs written by this node.", func(c *proxy.Counters) uint64 { return c.RolloutWrites }},
 }
 
+// gaugeSpec describes a metric that exports a value of the reducer's state.
+type gaugeSpec struct {
+	name, help string
+	value      func(r *proxy.Node, now mesh.Time) int64
+}
+
+var gaugeSpecs = [...]gaugeSpec{
+	{"chicory.config.version", "Configuration version in force.", func(r *proxy.Node, _ mesh.Time) int64 {
+		if snapshot := r.Config(); snapshot != nil {
+			return int64(snapshot.Version)
+		}
+		return 0
+	}},
+	{"chicory.quota.shares", "Tenants of whose quota this node holds a valid share.", func(r *proxy.Node, now mesh.Time) int64 {
+		return int64(r.QuotaStatus(now).Shares)
+	}},
+	{"chicory.quota.term", "Highest term of a coordinator of the quotas that this node knows.", func(r *proxy.Node, now mesh.Time) int64 {
+		return int64(r.QuotaStatus(now).Term)
+	}},
+	{"chicory.quota.held_term", "Term in which this node is the coordinator of the quotas, 0 if it isn't.", func(r *proxy.Node, _ mesh.Time) int64 {
+		return int64(r.HeldQuotaTerm())
+	}},
+	{"chicory.quota.floor", "1 while this node has requests of limited tenants and no valid share.", func(r *proxy.Node, now mesh.Time) int64 {
+		if r.QuotaStatus(now).OnFloor {
+			return 1
+		}
+		return 0
+	}},
+}
+
 // ioCounterSpec describes a metric that exports a counter kept outside the reducer.
 type ioCounterSpec struct {
 	name, unit, help string
@@ -146,9 +187,13 @@
 		}
 		counters, instruments = append(counters, instrument), append(instruments, instrument)
 	}
-	configVersion, err := meter.Int64ObservableGauge("chicory.config.version", metric.WithDescription("Configuration version in force."))
-	if err != nil {
-		return fmt.Errorf("register metric chicory.config.version: %w", err)
+	var gauges []metric.Int64Observable
+	for _, g := range gaugeSpecs {
+		instrument, err := meter.Int64ObservableGauge(g.name, metric.WithDescription(g.help))
+		if err != nil {
+			return fmt.Errorf("register metric %s: %w", g.name, err)
+		}
+		gauges, instruments = append(gauges, instrument), append(instruments, instrument)
 	}
 	var ioTotals []metric.Int64Observable
 	for _, t := range ioCounterSpecs {
@@ -158,24 +203,26 @@
 		}
 		ioTotals, instruments = append(ioTotals, instrument), append(instruments, instrument)
 	}
-	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
+	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		var c proxy.Counters
-		var v int64
+		var values [len(gaugeSpecs)]int64
 		n.inspect(func(r *proxy.Node) {
 			c = r.Counters()
-			if snapshot := r.Config(); snapshot != nil {
-				v = int64(snapshot.Version)
+			for i, spec := range gaugeSpecs {
+				values[i] = spec.value(r, n.now())
 			}
 		})
 		for i, spec := range counterSpecs {
 			o.ObserveInt64(counters[i], int64(spec.value(&c)))
 		}
-		o.ObserveInt64(configVersion, v)
+		for i, v := range values {
+			o.ObserveInt64(gauges[i], v)
+		}
 		for i, spec := range ioCounterSpecs {
 			o.ObserveInt64(ioTotals[i], spec.value(n))
 		}
 		return nil
-	}, append(instruments, configVersion)...)
+	}, instruments...)
 	if err != nil {
 		return fmt.Errorf("register the callback that reads the counters: %w", err)
 	}
--- a/internal/sidecar/quota_test.go
+++ b/internal/sidecar/quota_test.go
@@ -61,7 +61,7 @@
 	coordinator.step(proxy.StoreState{Loaded: true, Alive: true})
 	coordinator.step(proxy.Tick{})
 	held := func() (term uint64) {
-		coordinator.inspect(func(r *proxy.Node) { _, term = r.QuotaStatus(coordinator.now()) })
+		coordinator.inspect(func(r *proxy.Node) { term = r.HeldQuotaTerm() })
 		return term
 	}
 	for held() == 0 {
@@ -82,8 +82,7 @@
 	e := <-effects                          // no tick is needed
 	is.Equal(e.Reason, mesh.ReasonNoTarget) // admitted; this test has no instance
 	host.inspect(func(r *proxy.Node) {
-		status, _ := r.QuotaStatus(host.now())
-		is.Equal(status.Shares, 1)
+		is.Equal(r.QuotaStatus(host.now()).Shares, 1)
 	})
 	is.NoErr(peers.shutdown(t.Context()))
 }
@@ -97,8 +96,7 @@
 		n.applyChanges(TableShared, []Change{{Row: platform.Row{Key: quotaRowKey, Value: []byte(value), Revision: 7}}}, 7)
 		n.step(proxy.Tick{})
 		n.inspect(func(r *proxy.Node) {
-			status, held := r.QuotaStatus(n.now())
-			is.Equal(status.Term+held, uint64(0))
+			is.Equal(r.QuotaStatus(n.now()).Term+r.HeldQuotaTerm(), uint64(0))
 		})
 	}
 }
