Merge quotas over all hosts

The coordinator's row meets the eras of the store: a row that is missing is missing in the current era, which the condition of the write has to name. TestQuotaRowIsWrittenAgainInTheNewEra fails without it. Measured: the tests of internal/quota, sidecar and proxy pass.

--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -11,6 +11,7 @@
 package proxy
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/admission"
@@ -18,6 +19,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/random"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
@@ -41,6 +43,9 @@
 	Repeats retry.WindowBudget
 	// Warmup bounds the requests that a cold instance may receive.
 	Warmup warmup.Bounds
+	// Quota states by how much tenants may exceed their quotas. The zero value stands for
+	// quota.DefaultBounds.
+	Quota quota.Bounds
 }
 
 // Node is the reducer of one sidecar.
@@ -60,11 +65,15 @@
 	splits        map[mesh.Route]*trafficSplit
 	maxClientTime map[mesh.Route]time.Duration // largest CallArrived.Budget of each route so far
 
-	heldCalls   []heldCall // requests that wait for the first configuration, oldest first
-	calls       map[mesh.CallID]*call
-	gateCalls   map[mesh.CallID]*gateCall
-	gateEffects []admission.Effect
-	warmup      *warmup.Limiter // of the instance on this host
+	heldCalls    []heldCall // requests that wait for the first configuration, oldest first
+	quota        *quota.Node
+	quotaEffects quota.Effects // of the current step; reused
+	// waitingCalls are requests that wait for a share of their tenant's quota, oldest first.
+	waitingCalls []waitingCall
+	calls        map[mesh.CallID]*call
+	gateCalls    map[mesh.CallID]*gateCall
+	gateEffects  []admission.Effect
+	warmup       *warmup.Limiter // of the instance on this host
 	// loggedWarmUp is the state of the instance in the newest log line about it.
 	loggedWarmUp warmup.State
 	evacuations  map[mesh.FailureDomain]evacuation
@@ -121,6 +130,7 @@
 		forgotten:      make(map[mesh.HostID]forgottenHost),
 		firstAnnounced: make(map[mesh.InstanceID]mesh.Time),
 		started:        now,
+		quota:          quota.NewNode(now, s.Host, s.Incarnation, cmp.Or(s.Quota, quota.DefaultBounds)),
 	}
 	n.self = Member{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr,
@@ -166,14 +176,18 @@
 
 // Idle reports whether no request is in progress.
 func (n *Node) Idle() bool {
-	return len(n.heldCalls) == 0 && len(n.calls) == 0 && len(n.gateCalls) == 0
+	return len(n.heldCalls) == 0 && len(n.waitingCalls) == 0 && len(n.calls) == 0 && len(n.gateCalls) == 0
 }
 
 // Config returns the configuration in force, nil if none is known.
 func (n *Node) Config() *catalog.Snapshot { return n.config }
 
 // Counters returns the counts since the start of the process.
-func (n *Node) Counters() Counters { return n.counters }
+func (n *Node) Counters() Counters {
+	c := n.counters
+	c.Quota = n.quota.Counters()
+	return c
+}
 
 // Counters count decisions since the start of the process.
 type Counters struct {
@@ -187,6 +201,7 @@
 	HostFailures, ConfigApplied                          uint64
 	UnknownKeys                                          uint64 // requests refused because no tenant holds their key
 	HeartbeatsAccepted, HeartbeatsIgnored, RolloutWrites uint64
+	Quota                                                quota.Counters
 }
 
 func (e StoreState) apply(n *Node, s *step) {
@@ -218,6 +233,7 @@
 	n.splits = keptSplits
 	n.routeWindows = keptWindows
 	n.updateWarmUpLimit(s)
+	n.quota.Configure(s.now, e.Snapshot.Tenants)
 	s.log("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
 	n.probePredecessorInstance(s)
 	n.confirmReport(s)
--- a/internal/sidecar/era_test.go
+++ b/internal/sidecar/era_test.go
@@ -16,6 +16,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 )
 
 // eraPlatform decodes a row "config" whose value is a version number, and records the
@@ -189,3 +190,14 @@
 	n.applyChanges(TableOperator, []Change{rowChange("evacuate/z", "", 1, 51)}, platform.NewRevision(1, 51))
 	is.Equal(evacuated(), []mesh.FailureDomain{"z"})
 }
+
+// Guards against a coordinator of the quotas that can't write its row again because the
+// store lost it with the change of its era.
+func TestQuotaRowIsWrittenAgainInTheNewEra(t *testing.T) {
+	is := is.New(t)
+	n, check := newEraNode(t, "a")
+	n.applyState(TableShared, []Change{rowChange(quotaRowKey, `{"host":"b","term":3}`, 0, 50)}, 60, allRows)
+	n.applyState(TableShared, nil, platform.NewRevision(1, 40), allRows)
+	is.True(n.writeQuotaRow(t.Context(), quota.RowWrite{Row: quota.Row{Host: "a", Term: 4}}) != nil)
+	is.Equal(check.Revision, platform.NewRevision(1, 0))
+}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 	"github.com/chicoryscale/chicoryscale/internal/warmup"
 )
@@ -43,6 +44,8 @@
 	Repeats retry.WindowBudget
 	// Warmup bounds the requests that a cold instance may receive.
 	Warmup warmup.Bounds
+	// Quota states by how much tenants may exceed their quotas.
+	Quota quota.Bounds
 	// LinkMbps is the bandwidth of the host's link in Mbit/s.
 	LinkMbps int
 	// MemoryBytes is the memory that the process may use. If zero,
