Bound what clients of the sidecar can hold

Clients could exhaust descriptors and memory: the servers had no limit on connections, no timeout for bodies and answers, no account of parsed heads, and the peer server allocated by stated lengths and started calls without bound. Package clientlimit accepts connections up to shares of Limits.FileDescriptors, charges connections, heads, small bodies and peers' calls to one budget, and closes the connection that holds the most and progresses the least when a share or the budget is exhausted. The budget for bodies asks it to reclaim memory too.

--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"sync"
+	"time"
 )
 
 // ErrExhausted means that the bodies in progress hold too much memory for another one
@@ -29,12 +30,27 @@
 // arrive at once, each is aborted while there is still memory for bodies of ordinary
 // size. A Budget is safe for concurrent use, and a nil Budget has no bound.
 type Budget struct {
-	mu   sync.Mutex
-	free int
+	mu      sync.Mutex
+	free    int
+	reclaim func() bool
+	freed   chan struct{} // closed and replaced when bytes return to the budget
 }
 
 // New returns a budget of the given number of bytes.
-func New(bytes int) *Budget { return &Budget{free: bytes} }
+func New(bytes int) *Budget { return &Budget{free: bytes, freed: make(chan struct{})} }
+
+// SetReclaim sets a function that is called when the budget is exhausted. It makes a
+// holder of memory that progresses too slowly release it soon, and reports false if there
+// is none. It must be set before the budget is used.
+func (b *Budget) SetReclaim(reclaim func() bool) { b.reclaim = reclaim }
+
+const (
+	// maxReclaims bounds the holders that are made to release memory for one reservation.
+	maxReclaims = 8
+	// reclaimWait bounds the wait until such a holder has released its memory. It has only
+	// to notice that its connection is closed.
+	reclaimWait = 50 * time.Millisecond
+)
 
 // Free returns the number of bytes that are not reserved by buffers.
 func (b *Budget) Free() int {
@@ -81,20 +97,37 @@
 func (b *Buffer) Advance(n int) { b.data = b.data[:len(b.data)+n] }
 
 // reserve raises the reservation of the buffer to the given number of bytes and reports
-// whether the budget allows it.
+// whether the budget allows it. If the budget is exhausted, it lets others release memory.
 func (b *Buffer) reserve(bytes int) bool {
 	if b.budget == nil || bytes <= maxUncountedBytes {
 		return true
 	}
+	for range maxReclaims {
+		reserved, freed := b.tryReserve(bytes)
+		if reserved || b.budget.reclaim == nil || !b.budget.reclaim() {
+			return reserved
+		}
+		select {
+		case <-freed:
+		case <-time.After(reclaimWait):
+		}
+	}
+	reserved, _ := b.tryReserve(bytes)
+	return reserved
+}
+
+// tryReserve reserves bytes if the budget allows it. The channel is closed when bytes
+// return to the budget later.
+func (b *Buffer) tryReserve(bytes int) (reserved bool, freed <-chan struct{}) {
 	b.budget.mu.Lock()
 	defer b.budget.mu.Unlock()
 	extra := bytes - b.reserved
 	if b.released || bytes > b.budget.free-extra {
-		return false
+		return false, b.budget.freed
 	}
 	b.budget.free -= extra
 	b.reserved = bytes
-	return true
+	return true, nil
 }
 
 // HoldsBudget reports whether the buffer has bytes of the budget reserved.
@@ -116,6 +149,10 @@
 	b.budget.mu.Lock()
 	defer b.budget.mu.Unlock()
 	b.budget.free += b.reserved
+	if b.reserved > 0 {
+		close(b.budget.freed)
+		b.budget.freed = make(chan struct{})
+	}
 	b.reserved, b.released = 0, true
 }
 
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
+	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
 	"github.com/chicoryscale/chicoryscale/internal/membudget"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
@@ -49,6 +50,12 @@
 		return
 	}
 	defer buffer.Release()
+	if !n.beginRequest() {
+		n.guard.Shed(clientlimit.Requests)
+		n.refuseRequest(w, r, clientlimit.Requests)
+		return
+	}
+	defer n.endRequest()
 	body := buffer.Bytes()
 	req := &request{
 		node: n, id: mesh.CallID(n.nextID.Add(1)), http: r, body: body,
@@ -78,6 +85,9 @@
 // budget until it is released.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request) (*membudget.Buffer, error) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
+		if conn := clientlimit.FromContext(r.Context()); conn != nil {
+			conn.RequestRead()
+		}
 		return n.bodyMemory.NewBuffer(0), nil
 	}
 	limit := defaultBodyBytes
@@ -86,7 +96,11 @@
 			limit = c.Limits.BodyBytes
 		}
 	})
-	return n.bodyMemory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), limit)
+	buffer, err := n.bodyMemory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), limit)
+	if conn := clientlimit.FromContext(r.Context()); conn != nil && err == nil {
+		conn.RequestRead()
+	}
+	return buffer, err
 }
 
 // bodyRetryAfter is the retry delay, in seconds, sent to a client whose body exceeds the
--- /dev/null
+++ b/internal/sidecar/limits.go
@@ -0,0 +1,159 @@
+package sidecar
+
+import (
+	"cmp"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/proxy"
+)
+
+// ClientSettings bound what clients may hold. A field that is zero stands for its
+// default.
+type ClientSettings struct {
+	Connections  int // from clients to CallAddr
+	PerAddress   int // of these, from one client address
+	Requests     int // of clients that are in progress at the same time
+	HeaderFields int // of one request
+	Pipelined    int // requests that a client sends ahead in a row
+	HeldBytes    int // memory of heads, small bodies and connections
+	// StallTimeout is the time without a byte after which a body or an answer is given up.
+	StallTimeout time.Duration
+}
+
+const (
+	// defaultFileDescriptors is what the process may open on a small host.
+	defaultFileDescriptors = 4100
+	// ownDescriptors are kept for listeners, logs, the runtime and the store.
+	ownDescriptors = 48
+	// heldMemoryFraction is the fraction of the memory that connections, heads and small
+	// bodies may hold. With the budget for bodies and its garbage, half of the memory is
+	// left for everything else.
+	heldMemoryFraction = 0.25
+	// defaultHeaderFields is not reached by a head of 16 KB, the usual limit of
+	// configurations: a field takes at least four bytes.
+	defaultHeaderFields = 4096
+	// defaultPipelined exceeds what clients that pipeline at all send ahead.
+	defaultPipelined = 256
+	// defaultHeadTimeout and defaultIdleTimeout apply if the configuration sets no limits.
+	defaultHeadTimeout = 5 * time.Second
+	defaultIdleTimeout = 90 * time.Second
+	// defaultStallTimeout is the usual idle timeout of configurations.
+	defaultStallTimeout = 15 * time.Second
+	// timeoutMargin is the factor by which timeouts exceed those of the configuration, so
+	// that a client that just keeps within them isn't cut off.
+	timeoutMargin = 1.25
+)
+
+// limits are the numbers of connections that the descriptors of the process are divided
+// into.
+type limits struct {
+	calls, forward, peers, control int // accepted; control applies to each of three listeners
+	instance, perHost              int // opened
+	requests                       int // of clients in progress, each of which may open a connection
+}
+
+// limits divides the descriptors. Half of them are for clients; peers, the store and the
+// instance always have their own.
+func (s *Settings) limits() limits {
+	free := max(cmp.Or(s.FileDescriptors, defaultFileDescriptors)-ownDescriptors, 64)
+	opened := free * 3 / 16
+	return limits{
+		calls: min(cmp.Or(s.Clients.Connections, free/2), free/2), forward: free / 8, peers: free / 8, control: free / 48,
+		instance: opened / 2, perHost: max(opened/4, 4), requests: cmp.Or(s.Clients.Requests, opened/2),
+	}
+}
+
+// newGuard returns the guard of the connections that others open to this node.
+func (n *Node) newGuard() *clientlimit.Guard {
+	s := &n.settings
+	return clientlimit.New(clientlimit.Options{
+		PerAddress:   cmp.Or(s.Clients.PerAddress, n.limits.calls*3/4),
+		MemoryBytes:  cmp.Or(s.Clients.HeldBytes, int(heldMemoryFraction*s.memory())),
+		HeaderFields: cmp.Or(s.Clients.HeaderFields, defaultHeaderFields), Pipelined: cmp.Or(s.Clients.Pipelined, defaultPipelined),
+		Timeouts: n.clientTimeouts, Shedding: n.logShedding,
+	})
+}
+
+// clientTimeouts returns the timeouts for clients according to the configuration.
+func (n *Node) clientTimeouts() clientlimit.Timeouts {
+	t := clientlimit.Timeouts{Head: defaultHeadTimeout, Stall: cmp.Or(n.settings.Clients.StallTimeout, defaultStallTimeout), Idle: defaultIdleTimeout}
+	n.inspect(func(r *proxy.Node) {
+		c := r.Config()
+		if c == nil {
+			return
+		}
+		if c.Limits.HeaderTimeout > 0 {
+			t.Head = time.Duration(timeoutMargin * float64(c.Limits.HeaderTimeout))
+		}
+		if c.Limits.IdleTimeout > 0 {
+			t.Idle = time.Duration(timeoutMargin * float64(c.Limits.IdleTimeout))
+			t.Stall = max(t.Stall, t.Idle)
+		}
+	})
+	return t
+}
+
+// logShedding logs that shedding begins or ends, with what was shed since the start.
+func (n *Node) logShedding(begins bool, counts clientlimit.Counts) {
+	kind := "clients.shedding_ended"
+	if begins {
+		kind = "clients.shedding_began"
+	}
+	attrs := make([]any, 0, 2*len(counts))
+	for reason, count := range counts {
+		attrs = append(attrs, clientlimit.Reasons[reason], count)
+	}
+	n.log.Event(kind, attrs...)
+}
+
+// connState tells the guard that a connection is between two requests.
+func connState(c net.Conn, state http.ConnState) {
+	if conn, ok := c.(*clientlimit.Conn); ok && state == http.StateIdle {
+		conn.RequestEnded()
+	}
+}
+
+// limitRequests wraps a handler so that requests beyond the limits are refused. None of
+// them is forwarded, so 503 is truthful.
+func (n *Node) limitRequests(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		conn := clientlimit.FromContext(r.Context())
+		if conn == nil {
+			next(w, r)
+			return
+		}
+		if reason, ok := conn.RequestBegan(r.ContentLength); !ok {
+			n.refuseRequest(w, r, reason)
+			return
+		}
+		next(w, r)
+	}
+}
+
+// beginRequest counts a client's request that has been read completely. It reports false
+// if too many are in progress. Otherwise endRequest must be called at the request's end.
+func (n *Node) beginRequest() bool {
+	if n.running.Add(1) <= int64(n.limits.requests) {
+		return true
+	}
+	n.running.Add(-1)
+	return false
+}
+
+func (n *Node) endRequest() { n.running.Add(-1) }
+
+// refuseRequest answers a request that exceeds a limit and closes its connection.
+func (n *Node) refuseRequest(w http.ResponseWriter, r *http.Request, reason clientlimit.Reason) {
+	n.log.Line(time.Now(), "call.refused", "request", r.Header.Get(n.headers.Identity), "reason", clientlimit.Reasons[reason])
+	w.Header().Set(n.headers.RetryAfter, bodyRetryAfter)
+	w.Header().Set("Connection", "close")
+	if r.Header.Get(headerCall) != "" {
+		refused := gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonOverload}
+		refused.encode(w.Header())
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -16,6 +16,7 @@
 	"go.opentelemetry.io/otel/metric"
 	sdkmetric "go.opentelemetry.io/otel/sdk/metric"
 
+	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 )
 
@@ -158,6 +159,12 @@
 		}
 		ioTotals, instruments = append(ioTotals, instrument), append(instruments, instrument)
 	}
+	shed, err := meter.Int64ObservableCounter("chicory.clients.shed", metric.WithUnit("{event}"),
+		metric.WithDescription("Connections closed and requests refused because of the limits for clients."))
+	if err != nil {
+		return fmt.Errorf("register metric chicory.clients.shed: %w", err)
+	}
+	instruments = append(instruments, shed)
 	_, err = meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		var c proxy.Counters
 		var v int64
@@ -174,6 +181,9 @@
 		for i, spec := range ioCounterSpecs {
 			o.ObserveInt64(ioTotals[i], spec.value(n))
 		}
+		for reason, count := range n.guard.Counts() {
+			o.ObserveInt64(shed, int64(count), metric.WithAttributes(attribute.String("reason", clientlimit.Reasons[reason])))
+		}
 		return nil
 	}, append(instruments, configVersion)...)
 	if err != nil {
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -2,15 +2,13 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
-	"net/rpc"
 	"time"
 
-	"github.com/joomcode/errorx"
 	"github.com/valyala/fasthttp"
 
+	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
 	"github.com/chicoryscale/chicoryscale/internal/httplog"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 )
@@ -19,11 +17,12 @@
 var ErrListen = namespace.NewType("listen")
 
 const (
-	// headerTimeout bounds the time for reading a request's headers.
-	headerTimeout = 5 * time.Second
-	// clientIdleTimeout exceeds the idle time that configurations allow clients, so
-	// that this process never closes a connection that a client may still reuse.
-	clientIdleTimeout = 90 * time.Second
+	// serverTimeout bounds the times for headers and between requests in the servers
+	// themselves. The shorter timeouts of clientlimit.Timeouts follow the configuration.
+	serverTimeout = 10 * time.Minute
+	// controlReadTimeout bounds the time for a request of the instance or the platform,
+	// with the time for which its connection is idle before it.
+	controlReadTimeout = 90 * time.Second
 	// maxHeaderBytes exceeds the header size that configurations allow. It also bounds
 	// the bodies of control calls.
 	maxHeaderBytes = 64 << 10
@@ -46,13 +45,15 @@
 	for _, spec := range []struct {
 		name, addr string
 		make       func(name string, l net.Listener) server
+		kind       clientlimit.Kind
+		maxConns   int
 	}{
-		{"calls", s.CallAddr, n.callServer(n.serveCall)},
-		{"forward", s.ForwardAddr, n.callServer(n.serveForward)},
-		{"control", s.ControlAddr, n.controlServer(n.serveControl)},
-		{"ready", s.ReadyAddr, n.controlServer(n.serveReady)},
-		{"metrics", s.MetricsAddr, n.controlServer(n.metrics.handler())},
-		{"peers", s.PeerAddr, n.peerServer},
+		{"calls", s.CallAddr, n.callServer(n.serveCall), clientlimit.Clients, n.limits.calls},
+		{"forward", s.ForwardAddr, n.callServer(n.serveForward), clientlimit.Hosts, n.limits.forward},
+		{"control", s.ControlAddr, n.controlServer(n.serveControl), clientlimit.Control, n.limits.control},
+		{"ready", s.ReadyAddr, n.controlServer(n.serveReady), clientlimit.Control, n.limits.control},
+		{"metrics", s.MetricsAddr, n.controlServer(n.metrics.handler()), clientlimit.Control, n.limits.control},
+		{"peers", s.PeerAddr, n.peerServer, clientlimit.Peers, n.limits.peers},
 	} {
 		if spec.addr == "" {
 			continue
@@ -65,7 +66,7 @@
 			return nil, ErrListen.Wrap(err, "listen for %s on %s", spec.name, spec.addr)
 		}
 		n.listeners = append(n.listeners, l)
-		servers = append(servers, spec.make(spec.name, l))
+		servers = append(servers, spec.make(spec.name, n.guard.Listener(l, spec.kind, spec.maxConns)))
 	}
 	return servers, nil
 }
@@ -76,8 +77,8 @@
 func (n *Node) callServer(handler http.HandlerFunc) func(string, net.Listener) server {
 	return func(name string, l net.Listener) server {
 		s := &http.Server{
-			Handler: n.recoverPanics(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdleTimeout,
-			MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog,
+			Handler: n.recoverPanics(n.limitRequests(handler)), ReadHeaderTimeout: serverTimeout, IdleTimeout: serverTimeout,
+			MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog, ConnContext: clientlimit.WithConn, ConnState: connState,
 		}
 		return server{name: name, serve: func() error { return s.Serve(l) }, shutdown: s.Shutdown}
 	}
@@ -101,7 +102,7 @@
 func (n *Node) controlServer(handler fasthttp.RequestHandler) func(string, net.Listener) server {
 	return func(name string, l net.Listener) server {
 		s := &fasthttp.Server{
-			Handler: handler, NoDefaultServerHeader: true, ReadTimeout: clientIdleTimeout, WriteTimeout: controlWriteTimeout,
+			Handler: handler, NoDefaultServerHeader: true, ReadTimeout: controlReadTimeout, WriteTimeout: controlWriteTimeout,
 			Logger: httplog.Quiet{}, CloseOnShutdown: true, MaxRequestBodySize: maxHeaderBytes,
 		}
 		return server{name: name, serve: func() error { return s.Serve(l) }, shutdown: s.ShutdownWithContext}
@@ -138,32 +139,3 @@
 		ctx.SetBodyString("{}")
 	}
 }
-
-// peerServer returns the server that exchanges state with other nodes by net/rpc.
-func (n *Node) peerServer(name string, l net.Listener) server {
-	rpcServer := rpc.NewServer()
-	conns := newConnSet()
-	serve := func() error {
-		if err := rpcServer.RegisterName(peerService, &PeerService{n}); err != nil {
-			return err
-		}
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				if errors.Is(err, net.ErrClosed) {
-					return nil
-				}
-				return errorx.Decorate(err, "accept on %s", name)
-			}
-			conns.add(c)
-			go func() {
-				defer conns.remove(c)
-				rpcServer.ServeConn(&boundedConn{Conn: c})
-			}()
-		}
-	}
-	return server{name: name, serve: serve, shutdown: func(context.Context) error {
-		defer conns.closeAll()
-		return l.Close()
-	}}
-}
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -45,6 +45,11 @@
 	// MemoryBytes is the memory that the process may use. If zero,
 	// defaultMemoryBytes applies.
 	MemoryBytes int
+	// FileDescriptors is the number of descriptors that the process may have open. If
+	// zero, defaultFileDescriptors applies.
+	FileDescriptors int
+	// Clients bounds what clients may hold.
+	Clients ClientSettings
 }
 
 const (
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
 	"github.com/chicoryscale/chicoryscale/internal/egress"
 	"github.com/chicoryscale/chicoryscale/internal/membudget"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
@@ -77,10 +78,13 @@
 	instancePool *upstream.Pool
 	link         *egress.Link
 	bodyMemory   *membudget.Budget // of request and answer bodies held in memory
+	limits       limits
+	guard        *clientlimit.Guard // of the connections that others open to this node
 
 	lastCallAt       atomic.Int64 // time of the latest client request, in ns since the start
 	membersChangedAt atomic.Int64 // time of the latest change of a member, in ns since the start
 	inFlight         atomic.Int64
+	running          atomic.Int64 // client requests that have been read completely
 	stopping         atomic.Bool
 	listeners        []net.Listener
 }
@@ -93,10 +97,16 @@
 		hostPools: make(map[string]*upstream.Pool), announceDue: make(chan struct{}, 1), notifyDue: make(chan struct{}, 1), rolloutWrites: make(chan rolloutWrite, rolloutQueueLen),
 	}
 	n.startTime = mesh.Time(n.started.UnixNano())
+	n.limits = s.limits()
+	n.guard = n.newGuard()
 	n.bodyMemory = membudget.New(s.BodyMemoryBytes())
+	n.bodyMemory.SetReclaim(n.guard.Reclaim)
 	n.hostOpts = hostOptions(n.bodyMemory)
+	n.hostOpts.MaxConns = n.limits.perHost
 	n.link = egress.NewLink(s.LinkMbps)
-	n.instancePool = upstream.NewPool(s.InstanceAddr, instanceOptions(n.headers.Identity, n.bodyMemory))
+	instanceOpts := instanceOptions(n.headers.Identity, n.bodyMemory)
+	instanceOpts.MaxConns = n.limits.instance
+	n.instancePool = upstream.NewPool(s.InstanceAddr, instanceOpts)
 	n.replicas = [2]*replica{newReplica(), newReplica()}
 	n.peers = newPeerSet(n)
 	n.reducer = proxy.New(n.now(), proxy.Settings{
@@ -253,6 +263,7 @@
 func (n *Node) startLoops(ctx context.Context) {
 	go n.runEvery(ctx, tickInterval, func() { n.step(proxy.Tick{}) })
 	go n.runEvery(ctx, trimInterval, n.trimPools)
+	go n.runEvery(ctx, trimInterval, func() { n.guard.Sweep(time.Now()) })
 	go n.syncTable(ctx, TableOperator)
 	go n.syncTable(ctx, TableShared)
 	go n.followReader(ctx)
