Treat answers with a status unknown to HTTP as lost

A status below 100 was skipped as an interim answer, so that the request waited for its deadline (504); one from 600 to 999 reached the client as an answer and its connection stayed in use; so did 101. RFC 9110, section 15, calls all codes outside of 100 to 599 invalid, so they now end the exchange like a lost answer: the client gets 502 and the connection is closed. The same holds for 101 and for an interim status with content. An interim answer without content after which nothing follows can't be told from an ordinary interim one; it still waits for the deadline.

The check is in upstream.conn, through which answers of instances, gates, health checks and the store pass.

--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -255,16 +255,22 @@
 func (n *Node) probeInstance(ctx context.Context, p proxy.InstanceProbe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	resp, err := n.instancePool.Do(ctx, &upstream.Request{
-		Method: http.MethodGet, Target: p.Path, Host: n.settings.InstanceAddr, Header: http.Header{}, NeedsFreshConn: true,
-	})
+	serving, err := n.askHealth(ctx, p.Path, p.ID)
 	if err != nil {
 		n.log.Line(time.Now(), "instance.probe_failed", "instance", string(p.ID), "error", err.Error())
 	}
-	n.step(proxy.InstanceProbed{
-		ID:      p.ID,
-		Serving: err == nil && resp.Status == http.StatusOK && resp.Header.Get(n.headers.Instance) == string(p.ID),
+	n.step(proxy.InstanceProbed{ID: p.ID, Serving: serving})
+}
+
+// askHealth sends a health check and reports whether the named instance serves.
+func (n *Node) askHealth(ctx context.Context, path string, id mesh.InstanceID) (serving bool, err error) {
+	resp, err := n.instancePool.Do(ctx, &upstream.Request{
+		Method: http.MethodGet, Target: path, Host: n.settings.InstanceAddr, Header: http.Header{}, NeedsFreshConn: true,
 	})
+	if err != nil {
+		return false, err
+	}
+	return resp.Status == http.StatusOK && resp.Header.Get(n.headers.Instance) == string(id), nil
 }
 
 // classifyInstanceAnswer derives the result of a request from the answer at the
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -133,7 +134,8 @@
 func (c *conn) exchange(r *Request, o *Options) (exchangeResult, error) {
 	first := !c.used
 	c.used = true
-	n, err := c.Write(r.encode())
+	request := r.encode()
+	n, err := request.WriteTo(c.Conn)
 	if err != nil {
 		return exchangeResult{mayHaveSent: n > 0}, err
 	}
@@ -142,6 +144,9 @@
 		if err != nil {
 			return exchangeResult{mayHaveSent: true}, err
 		}
+		if err := checkStatus(resp); err != nil {
+			return exchangeResult{mayHaveSent: true}, err
+		}
 		if resp.StatusCode < http.StatusOK || !r.matches(resp, o.IdentityHeader, first) {
 			if err := discardResponse(resp); err != nil {
 				return exchangeResult{mayHaveSent: true}, err
@@ -153,6 +158,28 @@
 	return exchangeResult{mayHaveSent: true}, errUnmatched
 }
 
+// Status codes outside of the range from 100 to 599 are invalid (RFC 9110, 15).
+const (
+	minStatus = 100
+	maxStatus = 599
+)
+
+// checkStatus returns an error if a response has a status that HTTP doesn't know, or an
+// interim status in place of a final one. What follows on the connection can't be
+// attributed then. A response with status 101 changes the protocol, for which no request
+// asks, and one with another interim status has no content (RFC 9110, 8.6 and 15.2).
+func checkStatus(resp *http.Response) error {
+	switch {
+	case resp.StatusCode < minStatus || resp.StatusCode > maxStatus:
+	case resp.StatusCode >= http.StatusOK:
+		return nil
+	case resp.StatusCode == http.StatusSwitchingProtocols, len(resp.Header["Content-Length"]) > 0, len(resp.TransferEncoding) > 0:
+	default:
+		return nil
+	}
+	return fmt.Errorf("%w: %03d", errStatus, resp.StatusCode)
+}
+
 // readHead reads the status line and the headers of the next response.
 func (c *conn) readHead(method string) (*http.Response, error) {
 	c.limiter.limit(maxHeadBytes)
@@ -204,6 +231,7 @@
 	// before the one to the request, or one that is larger than maxUnmatchedBytes or
 	// after which the connection closes.
 	errUnmatched = errors.New("none of the responses read belongs to the request")
+	errStatus    = errors.New("response has an unknown status, or an interim one as its final status")
 	errTooLarge  = errors.New("response exceeds the size limit")
 )
 
