Serve one large body at a time, and pass the link on from slow readers

The budget for bodies refused any body above half of it, so on the smallest host (184 MB) a single request with a body of 64 MB, the usual limit of configurations, got 503 without any crowd. One buffer at a time may now take up to 0.36 of the memory outside the budget; it grows once, and requests are sent without copying their body.

A client that didn't read a large answer kept the turn on the host's link, so no other large answer was sent. A write that takes over 40 ms passes the turn on. TestClientThatDoesNotReadLosesItsTurn failed before (10 s without an answer).

--- a/internal/crowdtest/host_test.go
+++ b/internal/crowdtest/host_test.go
@@ -61,16 +61,26 @@
 	call, forward, ready, control, peer, metrics string // addresses
 	cmd                                          *exec.Cmd
 	exited                                       chan struct{} // closed when the process has exited
+	limits                                       hostLimits
 }
 
-// start starts a process and waits until it answers a request. descriptorLimit is the
-// kernel's limit for the process, zero for that of the test.
-func start(t *testing.T, descriptorLimit int) *sidecar {
+// hostLimits are the limits of a host and of the bodies of its clients' requests.
+type hostLimits struct {
+	memoryMb, bodyBytes int
+	// kernelDescriptors is the kernel's limit for the process, zero for that of the test.
+	kernelDescriptors int
+}
+
+// lowered are the limits of the host that a crowd attacks.
+var lowered = hostLimits{memoryMb: memoryMb, bodyBytes: bodyBytes}
+
+// start starts a process and waits until it answers a request.
+func start(t *testing.T, limits hostLimits) *sidecar {
 	t.Helper()
 	ip := fmt.Sprintf("127.81.%d.%d", os.Getpid()>>8&0xff, 1+os.Getpid()%250)
 	addr := func(port int) string { return net.JoinHostPort(ip, strconv.Itoa(port)) }
 	const firstPort = 21101
-	s := &sidecar{T: t, call: addr(firstPort), forward: addr(firstPort + 1), ready: addr(firstPort + 2), control: addr(firstPort + 3),
+	s := &sidecar{T: t, limits: limits, call: addr(firstPort), forward: addr(firstPort + 1), ready: addr(firstPort + 2), control: addr(firstPort + 3),
 		peer: addr(firstPort + 4), metrics: addr(firstPort + 5), exited: make(chan struct{})}
 	instanceAddr := addr(firstPort + 6)
 
@@ -83,7 +93,7 @@
 	go func() { _ = storeServer.Serve(listener) }() // ends with Close
 	t.Cleanup(func() { _ = storeServer.Close() })
 	if err := store.Configure(standin.Configuration{Version: 1, Host: hostName, Service: serviceName, TimeoutMillis: 3000,
-		TargetLatencyMillis: 1000, BodyBytes: bodyBytes, Routes: []standin.Route{{Name: "read"}, {Name: "order", NonIdempotent: true}}}); err != nil {
+		TargetLatencyMillis: 1000, BodyBytes: limits.bodyBytes, Routes: []standin.Route{{Name: "read"}, {Name: "order", NonIdempotent: true}}}); err != nil {
 		t.Fatal(err)
 	}
 	// The row of another host, which is down, spares the process the wait of 2.5 s in
@@ -92,14 +102,14 @@
 
 	settings := filepath.Join(t.TempDir(), "host.toml")
 	text := standin.HostSettings{Name: "host-0", IP: ip, Zone: "zone-0", Service: serviceName, PeerPort: firstPort + 4, GraceSeconds: 1,
-		Limits:    standin.Limits{MemoryMb: memoryMb, FileDescriptors: fileDescriptors, BandwidthMbps: bandwidthMbps},
+		Limits:    standin.Limits{MemoryMb: limits.memoryMb, FileDescriptors: fileDescriptors, BandwidthMbps: bandwidthMbps},
 		Addresses: standin.Addresses{Instance: instanceAddr, Call: s.call, Forward: s.forward, Ready: s.ready, Control: s.control, Store: listener.Addr().String()}}.Text()
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	s.cmd = exec.Command(program, "--settings", settings)
-	if descriptorLimit > 0 {
-		s.cmd = exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2" --settings "$3"`, "sh", strconv.Itoa(descriptorLimit), program, settings)
+	if limits.kernelDescriptors > 0 {
+		s.cmd = exec.Command("sh", "-c", `ulimit -n "$1" && exec "$2" --settings "$3"`, "sh", strconv.Itoa(limits.kernelDescriptors), program, settings)
 	}
 	s.cmd.Stdout, s.cmd.Stderr = io.Discard, os.Stderr
 	if path := os.Getenv("CROWDTEST_LOG"); path != "" {
@@ -189,8 +199,8 @@
 	}
 	peak := s.peakMemoryKb()
 	s.Logf("peak memory %.1f MB", float64(peak)/1024)
-	if peak > memoryMb<<10 {
-		s.Errorf("peak memory %d KB, want at most %d KB", peak, memoryMb<<10)
+	if bound := s.limits.memoryMb << 10; peak > bound {
+		s.Errorf("peak memory %d KB, want at most %d KB", peak, bound)
 	}
 }
 
--- a/internal/egress/egress.go
+++ b/internal/egress/egress.go
@@ -23,6 +23,9 @@
 	// minPause is the shortest pause worth a timer. Shorter ones are skipped and
 	// accumulate in Link.idleAt.
 	minPause = 2 * time.Millisecond
+	// maxWriteTime is the time after which a piece whose client doesn't read it loses its
+	// turn. A piece takes 8 ms on a link of 10 Mbit/s.
+	maxWriteTime = 40 * time.Millisecond
 )
 
 // Link paces the large answers of one host. It is safe for concurrent use.
@@ -96,16 +99,21 @@
 	return nil
 }
 
-// sendPiece waits for the answer's turn and writes one piece of it.
+// sendPiece waits for the answer's turn and writes one piece of it. A client that doesn't
+// read must not keep the link from the others, so the turn is passed on if the write
+// takes too long.
 func (l *Link) sendPiece(ctx context.Context, w io.Writer, a *answer, piece []byte, flush func() error) error {
 	if err := l.awaitTurn(ctx, a); err != nil {
 		return err
 	}
+	passed := time.AfterFunc(maxWriteTime, l.passTurn)
 	_, err := w.Write(piece)
 	if err == nil {
 		err = flush()
 	}
-	l.finishPiece(ctx, len(piece))
+	if passed.Stop() {
+		l.finishPiece(ctx, len(piece))
+	}
 	return err
 }
 
--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"sync"
 	"testing"
 	"time"
@@ -92,3 +93,39 @@
 		t.Fatal("a later answer was not sent within 5 s: cancelled answers keep the turn")
 	}
 }
+
+// blockedWriter blocks until it is released, like a connection whose client doesn't read.
+type blockedWriter struct{ released chan struct{} }
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.released
+	return len(p), nil
+}
+
+// Guards against a client that asks for a large answer and doesn't read it: no other large
+// answer was sent until its connection failed.
+func TestClientThatDoesNotReadLosesItsTurn(t *testing.T) {
+	is := is.New(t)
+	l := NewLink(10)
+	blocked := &blockedWriter{released: make(chan struct{})}
+	content := make([]byte, 2*LargeBytes)
+	done := make(chan error, 1)
+	go func() {
+		done <- l.Send(t.Context(), blocked, NewBytes(content), func() error { return nil })
+	}()
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+		l.mu.Lock()
+		sending := l.sending
+		l.mu.Unlock()
+		if sending || time.Now().After(deadline) {
+			break
+		}
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	is.NoErr(l.Send(ctx, io.Discard, NewBytes(content), func() error { return nil }))
+	close(blocked.released)
+	is.NoErr(<-done)
+	is.NoErr(l.Send(ctx, io.Discard, NewBytes(content), func() error { return nil }))
+	is.True(!l.sending)
+}
--- a/internal/membudget/budget.go
+++ b/internal/membudget/budget.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"io"
+	"runtime"
 	"sync"
 	"time"
 )
@@ -33,7 +34,11 @@
 	mu      sync.Mutex
 	free    int
 	reclaim func() bool
-	freed   chan struct{} // closed and replaced when bytes return to the budget
+	// large is the size up to which one buffer at a time may grow beyond the rule, zero
+	// for none. largeHeld is the buffer that does so.
+	large     int
+	largeHeld *Buffer
+	freed     chan struct{} // closed and replaced when bytes return to the budget
 }
 
 // New returns a budget of the given number of bytes.
@@ -44,6 +49,11 @@
 // is none. It must be set before the budget is used.
 func (b *Budget) SetReclaim(reclaim func() bool) { b.reclaim = reclaim }
 
+// AllowLarge lets one buffer at a time grow to the given number of bytes, outside the
+// budget. Without it, a body of more than half the budget is never accepted, even if it
+// is the only one. It must be called before the budget is used.
+func (b *Budget) AllowLarge(bytes int) { b.large = bytes }
+
 const (
 	// maxReclaims bounds the holders that are made to release memory for one reservation.
 	maxReclaims = 8
@@ -82,10 +92,14 @@
 // buffer if it is full. The space is empty once the body has reached maxBytes.
 func (b *Buffer) FreeSpace() ([]byte, error) {
 	if len(b.data) == cap(b.data) && len(b.data) < b.maxBytes {
-		size := min(max(2*cap(b.data), initialBufferBytes), b.maxBytes)
-		if !b.reserve(size) {
+		wanted := min(max(2*cap(b.data), initialBufferBytes), b.maxBytes)
+		size, ok := b.reserve(wanted)
+		if !ok {
 			return nil, ErrExhausted
 		}
+		if size > wanted {
+			runtime.GC() // the previous large buffer may still be in memory, and there is no room for two
+		}
 		grown := make([]byte, len(b.data), size)
 		copy(grown, b.data)
 		b.data = grown
@@ -98,36 +112,54 @@
 
 // reserve raises the reservation of the buffer to the given number of bytes and reports
 // whether the budget allows it. If the budget is exhausted, it lets others release memory.
-func (b *Buffer) reserve(bytes int) bool {
+// The size that it returns is larger for a buffer that takes the place of the large one:
+// such a buffer grows only once, because every growth needs memory for two copies.
+func (b *Buffer) reserve(bytes int) (size int, ok bool) {
 	if b.budget == nil || bytes <= maxUncountedBytes {
-		return true
+		return bytes, true
 	}
 	for range maxReclaims {
-		reserved, freed := b.tryReserve(bytes)
-		if reserved || b.budget.reclaim == nil || !b.budget.reclaim() {
-			return reserved
+		size, freed := b.tryReserve(bytes)
+		if size > 0 || b.budget.reclaim == nil || !b.budget.reclaim() {
+			return size, size > 0
 		}
 		select {
 		case <-freed:
 		case <-time.After(reclaimWait):
 		}
 	}
-	reserved, _ := b.tryReserve(bytes)
-	return reserved
+	size, _ = b.tryReserve(bytes)
+	return size, size > 0
 }
 
-// tryReserve reserves bytes if the budget allows it. The channel is closed when bytes
-// return to the budget later.
-func (b *Buffer) tryReserve(bytes int) (reserved bool, freed <-chan struct{}) {
+// tryReserve reserves at least the given number of bytes and returns how many, zero if
+// the budget doesn't allow it. The channel is closed when bytes return to the budget
+// later.
+func (b *Buffer) tryReserve(bytes int) (size int, freed <-chan struct{}) {
 	b.budget.mu.Lock()
 	defer b.budget.mu.Unlock()
 	extra := bytes - b.reserved
-	if b.released || bytes > b.budget.free-extra {
-		return false, b.budget.freed
+	switch {
+	case b.released:
+		return 0, b.budget.freed
+	case bytes <= b.budget.free-extra:
+		b.budget.free -= extra
+		b.reserved = bytes
+		return bytes, nil
+	case b.budget.largeHeld == nil && b.maxBytes <= b.budget.large:
+		b.budget.largeHeld = b
+		b.budget.returnLocked(b.reserved)
+		b.reserved = 0
+		return b.maxBytes, nil
 	}
-	b.budget.free -= extra
-	b.reserved = bytes
-	return true, nil
+	return 0, b.budget.freed
+}
+
+// returnLocked returns bytes to the budget.
+func (b *Budget) returnLocked(bytes int) {
+	b.free += bytes
+	close(b.freed)
+	b.freed = make(chan struct{})
 }
 
 // HoldsBudget reports whether the buffer has bytes of the budget reserved.
@@ -137,7 +169,7 @@
 	}
 	b.budget.mu.Lock()
 	defer b.budget.mu.Unlock()
-	return b.reserved > 0
+	return b.reserved > 0 || b.budget.largeHeld == b
 }
 
 // Release returns the reserved bytes to the budget. After that the buffer can't grow
@@ -148,11 +180,10 @@
 	}
 	b.budget.mu.Lock()
 	defer b.budget.mu.Unlock()
-	b.budget.free += b.reserved
-	if b.reserved > 0 {
-		close(b.budget.freed)
-		b.budget.freed = make(chan struct{})
+	if b.budget.largeHeld == b {
+		b.budget.largeHeld = nil
 	}
+	b.budget.returnLocked(b.reserved)
 	b.reserved, b.released = 0, true
 }
 
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -96,7 +96,11 @@
 			limit = c.Limits.BodyBytes
 		}
 	})
-	buffer, err := n.bodyMemory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), limit)
+	size := limit
+	if r.ContentLength > 0 {
+		size = int(min(r.ContentLength, int64(limit)))
+	}
+	buffer, err := n.bodyMemory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), size)
 	if conn := clientlimit.FromContext(r.Context()); conn != nil && err == nil {
 		conn.RequestRead()
 	}
--- a/internal/sidecar/peerserver.go
+++ b/internal/sidecar/peerserver.go
@@ -33,6 +33,7 @@
 func (n *Node) peerServer(name string, l net.Listener) server {
 	rpcServer := rpc.NewServer()
 	conns := newConnSet()
+	l = n.guard.Listener(l, clientlimit.Peers, n.limits.peers)
 	serve := func() error {
 		if err := rpcServer.RegisterName(peerService, &PeerService{n}); err != nil {
 			return err
--- a/internal/sidecar/servers.go
+++ b/internal/sidecar/servers.go
@@ -45,15 +45,13 @@
 	for _, spec := range []struct {
 		name, addr string
 		make       func(name string, l net.Listener) server
-		kind       clientlimit.Kind
-		maxConns   int
 	}{
-		{"calls", s.CallAddr, n.callServer(n.serveCall), clientlimit.Clients, n.limits.calls},
-		{"forward", s.ForwardAddr, n.callServer(n.serveForward), clientlimit.Hosts, n.limits.forward},
-		{"control", s.ControlAddr, n.controlServer(n.serveControl), clientlimit.Control, n.limits.control},
-		{"ready", s.ReadyAddr, n.controlServer(n.serveReady), clientlimit.Control, n.limits.control},
-		{"metrics", s.MetricsAddr, n.controlServer(n.metrics.handler()), clientlimit.Control, n.limits.control},
-		{"peers", s.PeerAddr, n.peerServer, clientlimit.Peers, n.limits.peers},
+		{"calls", s.CallAddr, n.callServer(n.serveCall, clientlimit.Clients, n.limits.calls)},
+		{"forward", s.ForwardAddr, n.callServer(n.serveForward, clientlimit.Hosts, n.limits.forward)},
+		{"control", s.ControlAddr, n.controlServer(n.serveControl)},
+		{"ready", s.ReadyAddr, n.controlServer(n.serveReady)},
+		{"metrics", s.MetricsAddr, n.controlServer(n.metrics.handler())},
+		{"peers", s.PeerAddr, n.peerServer},
 	} {
 		if spec.addr == "" {
 			continue
@@ -66,7 +64,7 @@
 			return nil, ErrListen.Wrap(err, "listen for %s on %s", spec.name, spec.addr)
 		}
 		n.listeners = append(n.listeners, l)
-		servers = append(servers, spec.make(spec.name, n.guard.Listener(l, spec.kind, spec.maxConns)))
+		servers = append(servers, spec.make(spec.name, l))
 	}
 	return servers, nil
 }
@@ -74,12 +72,13 @@
 // callServer returns a constructor of servers for requests of clients and of other
 // nodes. They use net/http because, unlike fasthttp, it reports at once when a client
 // closes its connection during a request.
-func (n *Node) callServer(handler http.HandlerFunc) func(string, net.Listener) server {
+func (n *Node) callServer(handler http.HandlerFunc, kind clientlimit.Kind, maxConns int) func(string, net.Listener) server {
 	return func(name string, l net.Listener) server {
 		s := &http.Server{
 			Handler: n.recoverPanics(n.limitRequests(handler)), ReadHeaderTimeout: serverTimeout, IdleTimeout: serverTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: discardLog, ConnContext: clientlimit.WithConn, ConnState: connState,
 		}
+		l = n.guard.Listener(l, kind, maxConns)
 		return server{name: name, serve: func() error { return s.Serve(l) }, shutdown: s.Shutdown}
 	}
 }
@@ -105,6 +104,7 @@
 			Handler: handler, NoDefaultServerHeader: true, ReadTimeout: controlReadTimeout, WriteTimeout: controlWriteTimeout,
 			Logger: httplog.Quiet{}, CloseOnShutdown: true, MaxRequestBodySize: maxHeaderBytes,
 		}
+		l = n.guard.Listener(l, clientlimit.Control, n.limits.control)
 		return server{name: name, serve: func() error { return s.Serve(l) }, shutdown: s.ShutdownWithContext}
 	}
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -58,6 +58,10 @@
 	// bodyMemoryFraction is the fraction of the memory for request and answer bodies.
 	// Growing buffers and the garbage of earlier ones take as much again.
 	bodyMemoryFraction = 0.125
+	// largeBodyFraction is the fraction of the memory that one body at a time may take
+	// in addition. On the smallest host, of 184 MB, it admits a body of 64 MB, the usual
+	// limit of configurations.
+	largeBodyFraction = 0.36
 	// heapLimitFraction is the fraction of the memory that becomes the soft limit of
 	// the Go runtime, near which the garbage collector runs as often as necessary.
 	// The rest is left for stacks and the kernel's buffers.
@@ -71,5 +75,8 @@
 // BodyMemoryBytes returns the memory budget for request and answer bodies.
 func (s *Settings) BodyMemoryBytes() int { return int(bodyMemoryFraction * s.memory()) }
 
+// LargeBodyBytes returns the size up to which one body at a time may exceed the budget.
+func (s *Settings) LargeBodyBytes() int { return int(largeBodyFraction * s.memory()) }
+
 // HeapBytes returns the soft memory limit for the Go runtime.
 func (s *Settings) HeapBytes() int64 { return int64(heapLimitFraction * s.memory()) }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -100,6 +100,7 @@
 	n.limits = s.limits()
 	n.guard = n.newGuard()
 	n.bodyMemory = membudget.New(s.BodyMemoryBytes())
+	n.bodyMemory.AllowLarge(s.LargeBodyBytes())
 	n.bodyMemory.SetReclaim(n.guard.Reclaim)
 	n.hostOpts = hostOptions(n.bodyMemory)
 	n.hostOpts.MaxConns = n.limits.perHost
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -95,10 +96,11 @@
 	NeedsFreshConn bool
 }
 
-// encode returns the request as it is sent, with Host and Content-Length added.
-func (r *Request) encode() []byte {
+// encode returns the request as it is sent, with Host and Content-Length added. The body
+// is not copied, as it may be large.
+func (r *Request) encode() net.Buffers {
 	var b bytes.Buffer
-	b.Grow(512 + len(r.Body))
+	b.Grow(512)
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	for name, values := range r.Header {
 		for _, v := range values {
@@ -109,8 +111,10 @@
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(r.Body)
-	return b.Bytes()
+	if len(r.Body) == 0 {
+		return net.Buffers{b.Bytes()}
+	}
+	return net.Buffers{b.Bytes(), r.Body}
 }
 
 // Response is a complete response or, if Stream is set, one whose content still
