--- a/internal/crowdtest/host_test.go
+++ b/internal/crowdtest/host.go
@@ -34,11 +34,10 @@
 	settleLimit = 20 * time.Second
 )
 
-// program is the path of chicory-sidecar, built by TestMain.
+// program is the path of chicory-sidecar, built by buildAndRun.
 var program string
 
-func TestMain(m *testing.M) { os.Exit(buildAndRun(m)) }
-
+// buildAndRun builds chicory-sidecar, without the race detector, and runs the tests.
 func buildAndRun(m *testing.M) int {
 	dir, err := os.MkdirTemp("", "crowdtest")
 	if err != nil {
--- a/internal/crowdtest/slow_test.go
+++ b/internal/crowdtest/slow_test.go
@@ -1,28 +1,11 @@
 package crowdtest
 
 import (
-	"bytes"
-	"encoding/binary"
-	"encoding/gob"
 	"net"
-	"net/rpc"
 	"strings"
 	"testing"
-	"time"
 )
 
-// getTargets are requests without a body to all addresses that speak HTTP.
-func (s *sidecar) getTargets() []target {
-	targets := s.allTargets()
-	for i := range targets {
-		targets[i].head = strings.Replace(targets[i].head, "POST", "GET", 1)
-	}
-	return targets
-}
-
-// limitReceiveBuffer lets the client take only a few bytes of the answers.
-func limitReceiveBuffer(c net.Conn) { _ = c.(*net.TCPConn).SetReadBuffer(4 << 10) }
-
 // Guards against requests that are sent ahead without reading the answers: their answers
 // must not collect in the process.
 func TestPipelinedRequestsWithoutReading(t *testing.T) {
@@ -48,16 +31,6 @@
 	})
 }
 
-// sendSlowly sends a text byte by byte until sendLimit.
-func sendSlowly(c net.Conn, text string) {
-	for i := range len(text) {
-		if _, err := c.Write([]byte{text[i]}); err != nil {
-			return
-		}
-		time.Sleep(100 * time.Millisecond)
-	}
-}
-
 // Guards against heads that arrive byte by byte.
 func TestSlowSendersOfHeads(t *testing.T) {
 	s := start(t, lowered)
@@ -95,9 +68,7 @@
 // one byte short: the length alone must not allocate memory.
 func TestPeerMessagesThatStopShort(t *testing.T) {
 	s := start(t, lowered)
-	const size = 8<<20 - 100
-	prefix := append([]byte{0xfc}, binary.BigEndian.AppendUint32(nil, size)...) // gob's encoding of a length of four bytes
-	payload := string(prefix) + strings.Repeat("p", size-1)
+	payload := shortPeerMessage(8<<20 - 100)
 	s.attack(24, []target{{s.peer, ""}}, plainRequest, func(target) member { return sendAll(payload) })
 }
 
@@ -105,20 +76,11 @@
 // replies.
 func TestPipelinedPeerCallsWithoutReading(t *testing.T) {
 	s := start(t, lowered)
-	var calls bytes.Buffer
-	encoder := gob.NewEncoder(&calls)
-	for i := range 4000 {
-		if err := encoder.Encode(rpc.Request{ServiceMethod: "Peer.Await", Seq: uint64(i)}); err != nil {
-			t.Fatal(err)
-		}
-		if err := encoder.Encode(struct{ Members []byte }{}); err != nil {
-			t.Fatal(err)
-		}
-	}
+	calls := s.peerCalls(4000)
 	s.attack(30, []target{{s.peer, ""}}, plainRequest, func(target) member {
 		return func(c net.Conn) {
 			limitReceiveBuffer(c)
-			sendAll(calls.String())(c)
+			sendAll(calls)(c)
 		}
 	})
 }
