Keep clients that don't read their answers from holding requests and buffers

Requests counted as in progress until their answer was written, so slow readers filled the limit for 15 s and ordinary requests got 503. They now count until the answer is known. The kernel's send buffer of a client grew to megabytes; it is sized to 20 ms of the link.

--- a/internal/clientlimit/guard.go
+++ b/internal/clientlimit/guard.go
@@ -46,6 +46,9 @@
 	HeaderFields int
 	// Pipelined bounds the requests in a row that a client sends ahead on a connection.
 	Pipelined int
+	// SendBufferBytes is the kernel's buffer for answers to a client, zero for the kernel's
+	// default. That one grows to megabytes for a client that doesn't read.
+	SendBufferBytes int
 	// Timeouts returns the timeouts for connections of clients, which follow the
 	// configuration.
 	Timeouts func() Timeouts
@@ -338,6 +341,9 @@
 			wait = min(2*wait, maxAcceptPause)
 			continue
 		}
+		if tcp, ok := accepted.(*net.TCPConn); ok && l.kind == Clients && l.guard.options.SendBufferBytes > 0 {
+			_ = tcp.SetWriteBuffer(l.guard.options.SendBufferBytes) // a failure leaves the default
+		}
 		host, _, _ := net.SplitHostPort(accepted.RemoteAddr().String())
 		c := &Conn{Conn: accepted, guard: l.guard, listener: l, address: host}
 		c.setPhase(phaseNew)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,9 @@
 	answer      gateAnswer // of the latest attempt
 	// cancelAttempt cancels the latest attempt, whose answer may still be arriving.
 	cancelAttempt context.CancelFunc
+	// answered is called when the answer is known. A client that doesn't read it must not
+	// keep other requests out.
+	answered func()
 }
 
 // serveCall handles a request of a client or of the instance on this host.
@@ -55,12 +59,13 @@
 		n.refuseRequest(w, r, clientlimit.Requests)
 		return
 	}
-	defer n.endRequest()
+	ended := sync.OnceFunc(n.endRequest)
+	defer ended()
 	body := buffer.Bytes()
 	req := &request{
 		node: n, id: mesh.CallID(n.nextID.Add(1)), http: r, body: body,
 		fingerprint: fingerprint(r.Method, r.RequestURI, body), effects: make(chan proxy.CallEffect, effectBuffer),
-		cancelAttempt: func() {},
+		cancelAttempt: func() {}, answered: ended,
 	}
 	n.mu.Lock()
 	n.callEffects[req.id] = req.effects
@@ -154,6 +159,7 @@
 				o.attempts, o.host, o.instance = e.Attempt, e.Host, e.Instance
 				r.forward(ctx, &e)
 			case proxy.CallRespond:
+				r.answered()
 				o.status = r.respond(w, &o)
 				return o
 			default:
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -16,7 +16,7 @@
 type ClientSettings struct {
 	Connections  int // from clients to CallAddr
 	PerAddress   int // of these, from one client address
-	Requests     int // of clients that are in progress at the same time
+	Requests     int // of clients that wait for their answers at the same time
 	HeaderFields int // of one request
 	Pipelined    int // requests that a client sends ahead in a row
 	HeldBytes    int // memory of heads, small bodies and connections
@@ -43,6 +43,12 @@
 	defaultIdleTimeout = 90 * time.Second
 	// defaultStallTimeout is the usual idle timeout of configurations.
 	defaultStallTimeout = 15 * time.Second
+	// sendBufferTime is the time for which a client's answers can be sent from the kernel's
+	// buffer. It exceeds the round trip to clients, 16 ms, so that one client can use
+	// the whole link.
+	sendBufferTime     = 20 * time.Millisecond
+	minSendBufferBytes = 32 << 10
+	maxSendBufferBytes = 1 << 20
 	// timeoutMargin is the factor by which timeouts exceed those of the configuration, so
 	// that a client that just keeps within them isn't cut off.
 	timeoutMargin = 1.25
@@ -53,7 +59,7 @@
 type limits struct {
 	calls, forward, peers, control int // accepted; control applies to each of three listeners
 	instance, perHost              int // opened
-	requests                       int // of clients in progress, each of which may open a connection
+	requests                       int // of clients that wait for an answer, each of which may open a connection
 }
 
 // limits divides the descriptors. Half of them are for clients; peers, the store and the
@@ -67,6 +73,15 @@
 	}
 }
 
+// sendBufferBytes returns the size of the kernel's buffer for answers to a client.
+func (s *Settings) sendBufferBytes() int {
+	if s.LinkMbps == 0 {
+		return 0
+	}
+	const bytesPerMbit = 1e6 / 8
+	return min(max(int(float64(s.LinkMbps)*bytesPerMbit*sendBufferTime.Seconds()), minSendBufferBytes), maxSendBufferBytes)
+}
+
 // newGuard returns the guard of the connections that others open to this node.
 func (n *Node) newGuard() *clientlimit.Guard {
 	s := &n.settings
@@ -74,7 +89,8 @@
 		PerAddress:   cmp.Or(s.Clients.PerAddress, n.limits.calls*3/4),
 		MemoryBytes:  cmp.Or(s.Clients.HeldBytes, int(heldMemoryFraction*s.memory())),
 		HeaderFields: cmp.Or(s.Clients.HeaderFields, defaultHeaderFields), Pipelined: cmp.Or(s.Clients.Pipelined, defaultPipelined),
-		Timeouts: n.clientTimeouts, Shedding: n.logShedding,
+		SendBufferBytes: s.sendBufferBytes(),
+		Timeouts:        n.clientTimeouts, Shedding: n.logShedding,
 	})
 }
 
@@ -135,7 +151,8 @@
 }
 
 // beginRequest counts a client's request that has been read completely. It reports false
-// if too many are in progress. Otherwise endRequest must be called at the request's end.
+// if too many wait for their answers. Otherwise endRequest must be called when the answer
+// is known.
 func (n *Node) beginRequest() bool {
 	if n.running.Add(1) <= int64(n.limits.requests) {
 		return true
@@ -146,11 +163,14 @@
 
 func (n *Node) endRequest() { n.running.Add(-1) }
 
-// refuseRequest answers a request that exceeds a limit and closes its connection.
+// refuseRequest answers a request that exceeds a limit. It closes the connection unless
+// the limit is that of all requests, which this client may not have caused.
 func (n *Node) refuseRequest(w http.ResponseWriter, r *http.Request, reason clientlimit.Reason) {
 	n.log.Line(time.Now(), "call.refused", "request", r.Header.Get(n.headers.Identity), "reason", clientlimit.Reasons[reason])
 	w.Header().Set(n.headers.RetryAfter, bodyRetryAfter)
-	w.Header().Set("Connection", "close")
+	if reason != clientlimit.Requests {
+		w.Header().Set("Connection", "close")
+	}
 	if r.Header.Get(headerCall) != "" {
 		refused := gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonOverload}
 		refused.encode(w.Header())
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -84,7 +84,7 @@
 	lastCallAt       atomic.Int64 // time of the latest client request, in ns since the start
 	membersChangedAt atomic.Int64 // time of the latest change of a member, in ns since the start
 	inFlight         atomic.Int64
-	running          atomic.Int64 // client requests that have been read completely
+	running          atomic.Int64 // client requests that wait for their answers
 	stopping         atomic.Bool
 	listeners        []net.Listener
 }
