Document the limits for clients, and follow the configured size of heads

The default bound on header fields was 4096 whatever HeaderBytes the operators set, so a legal head could reach it. It is now at least a quarter of HeaderBytes.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -82,11 +82,15 @@
 	return 0, errShed
 }
 
+// minHeaderFields is the number of fields up to which the bound, which takes a lock to
+// look up, is not asked for. Ordinary heads have up to some dozens.
+const minHeaderFields = 64
+
 // chargeHead charges the part of a head that has arrived. It reports false if the head is
 // beyond the limits.
 func (c *Conn) chargeHead(p []byte) bool {
 	bytes, fields := c.head.scan(p)
-	if c.head.fields > c.guard.options.HeaderFields {
+	if c.head.fields > minHeaderFields && c.head.fields > c.guard.options.HeaderFields() {
 		c.guard.Shed(Fields)
 		return false
 	}
--- a/internal/clientlimit/guard.go
+++ b/internal/clientlimit/guard.go
@@ -42,16 +42,15 @@
 	PerAddress int
 	// MemoryBytes bounds what all connections together are charged.
 	MemoryBytes int
-	// HeaderFields bounds the fields of one request's head.
-	HeaderFields int
 	// Pipelined bounds the requests in a row that a client sends ahead on a connection.
 	Pipelined int
 	// SendBufferBytes is the kernel's buffer for answers to a client, zero for the kernel's
 	// default. That one grows to megabytes for a client that doesn't read.
 	SendBufferBytes int
-	// Timeouts returns the timeouts for connections of clients, which follow the
-	// configuration.
-	Timeouts func() Timeouts
+	// HeaderFields returns the bound for the fields of one request's head, and Timeouts the
+	// timeouts for connections of clients. Both follow the configuration.
+	HeaderFields func() int
+	Timeouts     func() Timeouts
 	// Shedding is called when shedding begins and when it ends. It must not call the
 	// guard.
 	Shedding func(begins bool, counts Counts)
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -34,8 +34,9 @@
 	// left for everything else.
 	heldMemoryFraction = 0.25
 	// defaultHeaderFields is not reached by a head of 16 KB, the usual limit of
-	// configurations: a field takes at least four bytes.
+	// configurations, since a field takes at least minFieldBytes.
 	defaultHeaderFields = 4096
+	minFieldBytes       = 4 // a name of one byte, a colon and the line end
 	// defaultPipelined exceeds what clients that pipeline at all send ahead.
 	defaultPipelined = 256
 	// defaultHeadTimeout and defaultIdleTimeout apply if the configuration sets no limits.
@@ -88,12 +89,27 @@
 	return clientlimit.New(clientlimit.Options{
 		PerAddress:   cmp.Or(s.Clients.PerAddress, n.limits.calls*3/4),
 		MemoryBytes:  cmp.Or(s.Clients.HeldBytes, int(heldMemoryFraction*s.memory())),
-		HeaderFields: cmp.Or(s.Clients.HeaderFields, defaultHeaderFields), Pipelined: cmp.Or(s.Clients.Pipelined, defaultPipelined),
+		HeaderFields: n.maxHeaderFields, Pipelined: cmp.Or(s.Clients.Pipelined, defaultPipelined),
 		SendBufferBytes: s.sendBufferBytes(),
 		Timeouts:        n.clientTimeouts, Shedding: n.logShedding,
 	})
 }
 
+// maxHeaderFields returns the bound for the fields of a request's head. Unless it is set,
+// a head within the limit of the configuration does not reach it.
+func (n *Node) maxHeaderFields() int {
+	if set := n.settings.Clients.HeaderFields; set > 0 {
+		return set
+	}
+	fields := defaultHeaderFields
+	n.inspect(func(r *proxy.Node) {
+		if c := r.Config(); c != nil {
+			fields = max(fields, c.Limits.HeaderBytes/minFieldBytes)
+		}
+	})
+	return fields
+}
+
 // clientTimeouts returns the timeouts for clients according to the configuration.
 func (n *Node) clientTimeouts() clientlimit.Timeouts {
 	t := clientlimit.Timeouts{Head: defaultHeadTimeout, Stall: cmp.Or(n.settings.Clients.StallTimeout, defaultStallTimeout), Idle: defaultIdleTimeout}
