Charge peers' messages by what they take when decoded

An empty element of a list takes one byte in a gob message and up to 40 bytes when it is decoded. Messages of calls may have 256 KB; digests, records and reports take a few KB.

--- a/internal/crowdtest/clients.go
+++ b/internal/crowdtest/clients.go
@@ -149,6 +149,21 @@
 	return calls.String()
 }
 
+// peerNotice returns a call that takes a list, with many elements that are empty and
+// therefore take one byte each.
+func (s *sidecar) peerNotice(elements int) string {
+	s.Helper()
+	var call bytes.Buffer
+	encoder := gob.NewEncoder(&call)
+	if err := encoder.Encode(rpc.Request{ServiceMethod: "Peer.Notify"}); err != nil {
+		s.Fatal(err)
+	}
+	if err := encoder.Encode(struct{ Poison []struct{ Crashes uint8 } }{make([]struct{ Crashes uint8 }, elements)}); err != nil {
+		s.Fatal(err)
+	}
+	return call.String()
+}
+
 // shortPeerMessage returns a message of a peer that states a length and stops one byte
 // short of it.
 func shortPeerMessage(size int) string {
--- a/internal/crowdtest/slow_test.go
+++ b/internal/crowdtest/slow_test.go
@@ -72,6 +72,14 @@
 	s.attack(24, []target{{s.peer, ""}}, plainRequest, func(target) member { return sendAll(payload) })
 }
 
+// Guards against calls of peers whose many small elements take a multiple of the size of
+// the message when they are decoded.
+func TestPeerCallsOfManySmallElements(t *testing.T) {
+	s := start(t, lowered)
+	call := s.peerNotice(900_000)
+	s.attack(30, []target{{s.peer, ""}}, plainRequest, func(target) member { return sendAll(call, call) })
+}
+
 // Guards against calls at the address for peers that are sent ahead without reading the
 // replies.
 func TestPipelinedPeerCallsWithoutReading(t *testing.T) {
--- a/internal/sidecar/peerserver.go
+++ b/internal/sidecar/peerserver.go
@@ -24,9 +24,11 @@
 	peerCallCharge = 64 << 10
 	// maxPeerRequestBytes bounds a message of a call. Digests, records and reports take
 	// a few KB.
-	maxPeerRequestBytes = 1 << 20
-	// messageChargeFactor is the memory of a decoded message relative to its size.
-	messageChargeFactor = 4
+	maxPeerRequestBytes = 256 << 10
+	// messageChargeFactor is the memory of a decoded message relative to its size. An
+	// empty element of a list takes one byte in the message, and up to 40 bytes as a
+	// rollout.RouteCount.
+	messageChargeFactor = 40
 )
 
 // peerServer returns the server that exchanges state with other nodes by net/rpc.
