--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -255,18 +255,26 @@
 func (n *Node) probeInstance(ctx context.Context, p proxy.InstanceProbe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	resp, err := n.instancePool.Do(ctx, &upstream.Request{
-		Method: http.MethodGet, Target: p.Path, Host: n.settings.InstanceAddr, Header: http.Header{}, NeedsFreshConn: true,
-	})
+	result, err := n.askHealth(ctx, p)
 	if err != nil {
 		n.log.Line(time.Now(), "instance.probe_failed", "instance", string(p.ID), "error", err.Error())
 	}
+	n.step(result)
+}
+
+// askHealth sends a health check and returns its result, which is that of an instance that
+// doesn't serve if no answer came.
+func (n *Node) askHealth(ctx context.Context, p proxy.InstanceProbe) (proxy.InstanceProbed, error) {
 	result := proxy.InstanceProbed{ID: p.ID, WarmUpOnly: p.WarmUpOnly}
-	if err == nil {
-		result.Serving = resp.Status == http.StatusOK && resp.Header.Get(n.headers.Instance) == string(p.ID)
-		result.WarmUp, result.WarmUpStated = parseWarmUp(resp.Header.Get(n.headers.WarmUpLeft))
+	resp, err := n.instancePool.Do(ctx, &upstream.Request{
+		Method: http.MethodGet, Target: p.Path, Host: n.settings.InstanceAddr, Header: http.Header{}, NeedsFreshConn: true,
+	})
+	if err != nil {
+		return result, err
 	}
-	n.step(result)
+	result.Serving = resp.Status == http.StatusOK && resp.Header.Get(n.headers.Instance) == string(p.ID)
+	result.WarmUp, result.WarmUpStated = parseWarmUp(resp.Header.Get(n.headers.WarmUpLeft))
+	return result, nil
 }
 
 // parseWarmUp parses the value of the header WarmUpLeft. It reports false if the instance
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
+	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
 	"github.com/chicoryscale/chicoryscale/internal/membudget"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
@@ -32,6 +34,9 @@
 	answer      gateAnswer // of the latest attempt
 	// cancelAttempt cancels the latest attempt, whose answer may still be arriving.
 	cancelAttempt context.CancelFunc
+	// answered is called when the answer is known. A client that doesn't read it must not
+	// keep other requests out.
+	answered func()
 }
 
 // serveCall handles a request of a client or of the instance on this host.
@@ -49,11 +54,18 @@
 		return
 	}
 	defer buffer.Release()
+	if !n.beginRequest() {
+		n.guard.Shed(clientlimit.Requests)
+		n.refuseRequest(w, r, clientlimit.Requests)
+		return
+	}
+	ended := sync.OnceFunc(n.endRequest)
+	defer ended()
 	body := buffer.Bytes()
 	req := &request{
 		node: n, id: mesh.CallID(n.nextID.Add(1)), http: r, body: body,
 		fingerprint: fingerprint(r.Method, r.RequestURI, body), effects: make(chan proxy.CallEffect, effectBuffer),
-		cancelAttempt: func() {},
+		cancelAttempt: func() {}, answered: ended,
 	}
 	n.mu.Lock()
 	n.callEffects[req.id] = req.effects
@@ -78,6 +90,9 @@
 // budget until it is released.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request) (*membudget.Buffer, error) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
+		if conn := clientlimit.FromContext(r.Context()); conn != nil {
+			conn.RequestRead()
+		}
 		return n.bodyMemory.NewBuffer(0), nil
 	}
 	limit := defaultBodyBytes
@@ -86,7 +101,15 @@
 			limit = c.Limits.BodyBytes
 		}
 	})
-	return n.bodyMemory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), limit)
+	size := limit
+	if r.ContentLength > 0 {
+		size = int(min(r.ContentLength, int64(limit)))
+	}
+	buffer, err := n.bodyMemory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), size)
+	if conn := clientlimit.FromContext(r.Context()); conn != nil && err == nil {
+		conn.RequestRead()
+	}
+	return buffer, err
 }
 
 // bodyRetryAfter is the retry delay, in seconds, sent to a client whose body exceeds the
@@ -136,6 +159,7 @@
 				o.attempts, o.host, o.instance = e.Attempt, e.Host, e.Instance
 				r.forward(ctx, &e)
 			case proxy.CallRespond:
+				r.answered()
 				o.status = r.respond(w, &o)
 				return o
 			default:
