Probe an instance again whose health answer stated no warm-up

Cause: one health answer without the header left the limit of the instance to heartbeats until the instance was down. Change: such an instance is probed every 10 s, and an answer with the header ends the state. Ruled out: bounding unconfirmed requests meanwhile, which would refuse requests to instances that never state their warm-up.

--- a/internal/proxy/warmup_test.go
+++ b/internal/proxy/warmup_test.go
@@ -11,12 +11,8 @@
 	"github.com/chicoryscale/chicoryscale/internal/warmup"
 )
 
-// warmUpRate is the warm-up rate of the test service. The rule allows 1.5 times that plus 8
-// requests in a second.
-const (
-	warmUpRate = 4
-	warmUpRule = 14
-)
+// The rule allows 1.5 times the rate plus 8 requests in a second.
+const warmUpRate, warmUpRule = 4, 14
 
 // newLimitedNode returns a node whose instance states its warm-up in its first health answer.
 func newLimitedNode(t *testing.T, slots uint16, warmUp time.Duration) *testNode {
--- a/internal/warmup/limiter.go
+++ b/internal/warmup/limiter.go
@@ -25,6 +25,9 @@
 	heartbeatLifetime = 3 * time.Second
 	// probeRetry is the least time between a failed probe and the next one.
 	probeRetry = 200 * time.Millisecond
+	// silentRetry is the time after which an instance is probed again whose health answer
+	// stated no warm-up.
+	silentRetry = 10 * time.Second
 	// burstFraction is the fraction of the excess allowed by the rule that the bucket
 	// holds. The rest is left for requests that were dispatched before the instance turned
 	// cold, for probes, and for variations of the time to the instance.
@@ -95,8 +98,8 @@
 	// confirmedAt is the time at which the newest probe that was answered as warm was sent.
 	// Dispatches before it met a warm instance.
 	confirmedAt mesh.Time
-	// silent is set if health answers state no warm-up. The limiter then relies on
-	// heartbeats alone.
+	// silent is set if the newest health answer stated no warm-up. The limiter then relies
+	// on heartbeats.
 	silent          bool
 	warmHeartbeatAt mesh.Time // time of the newest heartbeat, zero if it stated a warm-up
 
@@ -242,7 +245,9 @@
 		l.warmHeartbeatAt = 0
 		l.setCold(now, left)
 	case l.state == Warm || l.silent || !canProbe:
-		l.silent = l.silent || !canProbe
+		if !canProbe {
+			l.silent, l.nextProbeAt = true, now.Add(silentRetry)
+		}
 		l.state, l.statedAt, l.warmHeartbeatAt = Warm, now, now
 	default:
 		l.warmHeartbeatAt = now
@@ -256,16 +261,16 @@
 
 // StartProbe reports whether a health probe is to be sent now, and counts it as sent.
 func (l *Limiter) StartProbe(now mesh.Time) bool {
-	if !l.Limited() || l.silent || l.probeSentAt != 0 || now < l.nextProbeAt {
+	if !l.Limited() || l.probeSentAt != 0 || now < l.nextProbeAt {
 		return false
 	}
 	l.advance(now)
 	// A probe counts as a request, to be on the safe side.
-	if l.unconfirmed() >= int(math.Floor(l.rule())) || l.state != Warm && now <= l.coldFrom {
+	if !l.silent && l.unconfirmed() >= int(math.Floor(l.rule())) || l.state != Warm && now <= l.coldFrom {
 		return false
 	}
 	switch {
-	case l.probeWanted:
+	case l.probeWanted, l.silent:
 	case l.state == Warm && l.unconfirmed() >= l.probeThreshold(now):
 	case l.state == Unknown && 2*len(l.sent) >= l.coldLimit():
 	case l.state == Cold && now >= l.coldUntil && len(l.sent) > 0:
@@ -318,13 +323,14 @@
 	l.probeWanted = false
 	switch {
 	case !a.Stated:
-		l.silent = true
+		l.silent, l.nextProbeAt = true, now.Add(silentRetry)
 		if l.warmHeartbeatAt != 0 && now.Sub(l.warmHeartbeatAt) <= heartbeatLifetime {
 			l.state, l.statedAt = Warm, now
 		}
 	case a.Left > 0:
+		l.silent = false
 		l.setCold(now, a.Left)
 	default:
-		l.state, l.statedAt, l.confirmedAt = Warm, now, sentAt
+		l.silent, l.state, l.statedAt, l.confirmedAt = false, Warm, now, sentAt
 	}
 }
--- a/internal/warmup/limiter_test.go
+++ b/internal/warmup/limiter_test.go
@@ -155,5 +155,6 @@
 		}
 		l.Heartbeat(now, 2*time.Second, canProbe)
 		is.True(!l.Allow(now)) // the second before counts
+		is.True(l.StartProbe(now.Add(silentRetry)))
 	}
 }
