Compare placements of requests of uneven work in virtual time

The design of work-aware placement needs a measure of what callers gain. Rows of make routing compare placement by route with full knowledge.

--- a/internal/tooling/routingbench/main.go
+++ b/internal/tooling/routingbench/main.go
@@ -1,5 +1,5 @@
 // Command routingbench compares routing policies on a queueing model in
-// virtual time. It prints a table and, as its last line, the result in JSON.
+// virtual time, and the placement of requests of uneven work. It prints a table and, as its last line, the result in JSON.
 // With -overload it runs the overload check, with and without shedding and
 // retry budget.
 package main
@@ -23,6 +23,12 @@
 	Holds bool `json:"holds"`
 }
 
+// comparison is the result of all runs without -overload.
+type comparison struct {
+	callsim.Summary
+	Uneven []callsim.UnevenRow `json:"uneven"`
+}
+
 func main() {
 	seed := flag.Uint64("seed", 1, "seed of the random choices")
 	overload := flag.Bool("overload", false, "run the overload check instead of the comparison")
@@ -31,9 +37,11 @@
 	if *overload {
 		result = runOverload(*seed)
 	} else {
-		summary := callsim.Compare(*seed)
-		summary.WriteTable(os.Stdout)
-		result = summary
+		c := comparison{Summary: callsim.Compare(*seed)}
+		c.WriteTable(os.Stdout)
+		c.Uneven = callsim.CompareUneven(*seed, callsim.UnevenLoads, callsim.UnevenRates, callsim.UnevenPolicies)
+		callsim.WriteUnevenTable(os.Stdout, c.Uneven)
+		result = c
 	}
 	if err := json.NewEncoder(os.Stdout).Encode(result); err != nil {
 		log.Fatalf("write the result: %v", err)
