Use the predicted work in placement and at the gate

Placement scales the mean duration of the route by the predicted work, and learns the slowness of an instance from durations relative to it. The gate does the same for its expected service times, the margin for deadlines and the wait for a slot. Settings.WorkAware of package proxy switches it on.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -76,7 +76,7 @@
 		return append(out, rejection(c.ID, c.Instance, reason, inst))
 	}
 	rec := g.newRecord(now, c, inst)
-	rec.late = inst.missesTarget(now, c, inst.expectedWait(rec))
+	rec.late = inst.missesTarget(now, c, inst.expectedWait(now, rec))
 	if !inst.canAdmit(now, rec) {
 		return g.rejectRecord(rec, mesh.ReasonDeadline, out)
 	}
@@ -102,7 +102,7 @@
 	inst := rec.inst
 	switch finish {
 	case Finished:
-		inst.recordServiceTime(rec.Route, now.Sub(rec.started))
+		inst.recordServiceTime(rec.Call, now.Sub(rec.started))
 	case Lost:
 		inst.recordLost(now, rec.Fingerprint)
 	}
--- a/internal/admission/instance.go
+++ b/internal/admission/instance.go
@@ -67,6 +67,9 @@
 	lostCalls       []lostCall
 	meanServiceTime time.Duration // moving average of service times
 	deviation       time.Duration // moving average of the absolute deviation from the mean
+	// relativeDeviation is the moving average of the absolute deviation of calls with
+	// predicted work, as a share of their expected service time.
+	relativeDeviation float64
 	// serviceTimeByRoute holds the moving averages of service times of each route.
 	serviceTimeByRoute map[mesh.Route]time.Duration
 }
@@ -91,10 +94,14 @@
 // expectedServiceTime returns the moving average of the call's route or, if the
 // route has none yet, of the instance.
 func (i *instance) expectedServiceTime(c Call) time.Duration {
-	if d, ok := i.serviceTimeByRoute[c.Route]; ok {
+	d, ok := i.serviceTimeByRoute[c.Route]
+	if !ok {
+		d = i.meanServiceTime
+	}
+	if c.Work == 0 {
 		return d
 	}
-	return i.meanServiceTime
+	return time.Duration(float64(d) * c.Work)
 }
 
 // canMeetDeadline reports whether a call that starts now is likely to end before
@@ -103,7 +110,7 @@
 func (i *instance) canMeetDeadline(now mesh.Time, c Call) bool {
 	need := i.expectedServiceTime(c)
 	if len(i.queue) > 1 {
-		need += startDeviations * i.deviation
+		need += startDeviations * i.deviationOf(c)
 	}
 	return c.Deadline.Sub(now) >= need
 }
@@ -114,14 +121,17 @@
 	if len(i.queue) == 0 && i.hasFreeSlot() {
 		return i.canMeetDeadline(now, rec.Call)
 	}
-	return rec.Deadline.Sub(now) >= i.expectedWait(rec)+i.expectedServiceTime(rec.Call)+queuedDeviations*i.deviation
+	return rec.Deadline.Sub(now) >= i.expectedWait(now, rec)+i.expectedServiceTime(rec.Call)+queuedDeviations*i.deviationOf(rec.Call)
 }
 
 // expectedWait returns the expected time in the queue of an arriving call.
-func (i *instance) expectedWait(rec *call) time.Duration {
+func (i *instance) expectedWait(now mesh.Time, rec *call) time.Duration {
 	if len(i.queue) == 0 && i.hasFreeSlot() {
 		return 0
 	}
+	if rec.Work > 0 {
+		return i.startDelay(now, i.queue[:i.position(rec)])
+	}
 	return i.meanServiceTime * time.Duration(i.position(rec)+1) / time.Duration(i.slots)
 }
 
@@ -204,13 +214,20 @@
 }
 
 // recordServiceTime adds the duration of a finished call to the moving averages.
-func (i *instance) recordServiceTime(route mesh.Route, d time.Duration) {
-	if route != "" {
-		old, ok := i.serviceTimeByRoute[route]
+func (i *instance) recordServiceTime(c Call, d time.Duration) {
+	if c.Work > 0 {
+		i.recordRelativeDeviation(c, d)
+	}
+	if c.Route != "" {
+		typical := d
+		if c.Work > 0 {
+			typical = time.Duration(float64(d) / c.Work)
+		}
+		old, ok := i.serviceTimeByRoute[c.Route]
 		if !ok {
-			old = d
+			old = typical
 		}
-		i.serviceTimeByRoute[route] = old + time.Duration(float64(d-old)*serviceTimeWeight)
+		i.serviceTimeByRoute[c.Route] = old + time.Duration(float64(typical-old)*serviceTimeWeight)
 	}
 	absDeviation := max(d-i.meanServiceTime, i.meanServiceTime-d)
 	i.meanServiceTime += time.Duration(float64(d-i.meanServiceTime) * serviceTimeWeight)
--- a/internal/admission/types.go
+++ b/internal/admission/types.go
@@ -38,6 +38,9 @@
 	Priority   mesh.Priority
 	// Route selects the expected duration of the call. It may be empty.
 	Route mesh.Route
+	// Work is the predicted work of the call as a multiple of the mean of its route.
+	// Zero stands for the mean.
+	Work float64
 	// Deadline is the time after which an answer is useless.
 	Deadline mesh.Time
 	// Target is the time by which the call should end; a later answer has less
--- a/internal/callsim/uneven.go
+++ b/internal/callsim/uneven.go
@@ -17,13 +17,15 @@
 const (
 	// ByRoute expects the same work of all requests of a route.
 	ByRoute UnevenPolicy = "by-route"
+	// ByWork predicts the work of each request with package workcost.
+	ByWork UnevenPolicy = "by-work"
 	// FullKnowledge knows the true work of each request and the true backlog of each
 	// instance without delay.
 	FullKnowledge UnevenPolicy = "full-knowledge"
 )
 
 // UnevenPolicies lists all policies for uneven work.
-var UnevenPolicies = []UnevenPolicy{ByRoute, FullKnowledge}
+var UnevenPolicies = []UnevenPolicy{ByRoute, ByWork, FullKnowledge}
 
 // UnevenConfig describes one run with requests of uneven work.
 type UnevenConfig struct {
@@ -129,6 +131,7 @@
 		s.nodes = append(s.nodes, proxy.New(s.engine.now, proxy.Settings{
 			Host: m.Host, Domain: m.Domain, ForwardAddr: m.ForwardAddr, PeerAddr: m.PeerAddr, Service: unevenService, Incarnation: 100,
 			Repeats: retry.WindowBudget{Ratio: 0.2, Extra: 60, Span: 10 * time.Second},
+			WorkAware: s.config.Policy == ByWork,
 		}))
 		s.step(i, proxy.ConfigurationSeen{Snapshot: snapshot})
 		if m.Instance != nil {
@@ -175,6 +178,7 @@
 	s.engine.after(c.deadline.Sub(s.engine.now), func() { s.expire(id) })
 	s.step(c.entry, proxy.CallArrived{
 		Call: id, Host: "a", Path: c.path, Key: tenantName(c.tenant), Budget: c.deadline.Sub(s.engine.now),
+		Method: "POST", BodyBytes: c.size,
 	})
 }
 
@@ -247,7 +251,7 @@
 	s.results.countForward(s.measured(c))
 	arrived := proxy.GateArrived{
 		Call: id, Instance: e.Instance, Route: e.Route, Rank: e.Rank, Tenant: e.Tenant, TenantRank: e.TenantRank,
-		MayQueue: e.MayQueue, Fingerprint: mesh.Fingerprint(e.Call),
+		MayQueue: e.MayQueue, Fingerprint: mesh.Fingerprint(e.Call), Method: "POST", Path: c.path, BodyBytes: c.size,
 	}
 	deadline, targetAt := e.Deadline, s.engine.now.Add(e.TimeToTarget)
 	s.engine.after(s.delay(entry, host), func() {
--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -91,6 +91,9 @@
 	// TimeToTarget is the time until the latency target of the route, negative if it has
 	// passed.
 	TimeToTarget time.Duration
+	// Work is the predicted work of the request as a multiple of the mean of its route.
+	// Zero stands for the mean.
+	Work float64
 	// Excluded lists the instances that must not be chosen.
 	Excluded []mesh.InstanceID
 }
@@ -105,6 +108,7 @@
 
 	state *instance
 	route mesh.Route
+	work  float64 // as a multiple of the mean of the route
 }
 
 // Result is the end of an attempt.
@@ -293,7 +297,7 @@
 	}
 	full := best.load(now) >= float64(best.Slots)
 	best.inFlight++
-	return Choice{Instance: best.Instance, Found: true, Full: full, state: best, route: req.Route}
+	return Choice{Instance: best.Instance, Found: true, Full: full, state: best, route: req.Route, work: cmp.Or(req.Work, 1)}
 }
 
 // drawVersion returns a random version for the next request in proportion to the
@@ -345,7 +349,7 @@
 // answer, plus the costs of leaving the failure domain and of a likely failure.
 func (t *Table) expectedTime(now mesh.Time, inst *instance, req *Request) float64 {
 	r := t.route(req.Route)
-	typical := r.duration.valueAt(now)
+	typical := r.duration.valueAt(now) * cmp.Or(req.Work, 1)
 	slowness := inst.slowness.valueAt(now)
 	if inst.inColdStart(now) {
 		slowness = max(slowness, coldStartSlowness)
@@ -447,13 +451,13 @@
 	}
 	serviceFailures.add(now, failed, routeWeight)
 	if !res.Failed {
-		t.learnDuration(now, inst, c.route, res)
+		t.learnDuration(now, inst, &c, res)
 	}
 }
 
 // learnDuration adds the duration and size of a successful answer to the averages.
-func (t *Table) learnDuration(now mesh.Time, inst *instance, name mesh.Route, res Result) {
-	r := t.route(name)
+func (t *Table) learnDuration(now mesh.Time, inst *instance, c *Choice, res Result) {
+	r := t.route(c.route)
 	d := float64(res.Duration)
 	r.duration.add(now, d, routeWeight)
 	r.bytes.add(now, float64(res.Bytes), routeWeight)
@@ -463,5 +467,16 @@
 		t.serviceDurations[inst.Service] = serviceDuration
 	}
 	serviceDuration.add(now, d, routeWeight)
-	inst.slowness.add(now, d/max(r.duration.value, 1), slownessWeight)
+	inst.slowness.add(now, d/max(r.duration.value*c.work, 1), slownessWeight)
+}
+
+// RelativeWork returns the work of a request that took the given time at the chosen
+// instance, as a multiple of the mean of its route and corrected for the slowness of the
+// instance. It returns zero if either isn't known yet.
+func (t *Table) RelativeWork(now mesh.Time, c Choice, d time.Duration) float64 {
+	r := t.routes[c.route]
+	if c.state == nil || r == nil || r.duration.samples == 0 || c.state.slowness.samples == 0 {
+		return 0
+	}
+	return float64(d) / max(r.duration.value*c.state.slowness.valueAt(now), 1)
 }
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -8,6 +8,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/workcost"
 )
 
 const (
@@ -60,6 +61,8 @@
 	targetAt    mesh.Time // time of the route's latency target
 	fingerprint mesh.Fingerprint
 	suspicion   poison.Suspicion // of crashes that the request caused
+	features    workcost.Request
+	work        float64 // predicted, as a multiple of the route's mean; zero if unknown
 
 	attempt     uint8 // number of the attempt in flight or of the last one
 	inFlight    bool
@@ -168,6 +171,8 @@
 		fingerprint: e.Fingerprint, suspicion: check.Suspicion, tenant: tenant,
 	}
 	c.probeLimit = n.table.ProbeCount(s.now, s.random.Next(), c.service, probesBeforeQueue)
+	c.features = c.workRequest(&e)
+	c.work = n.predictWork(s.now, c.features)
 	c.deadline = s.now.Add(limit)
 	c.targetAt = s.now.Add(route.TargetLatency - n.timeSpentByClient(route.Name, e.Budget))
 	n.calls[e.Call] = c
@@ -252,7 +257,7 @@
 // chooseTarget chooses the target of the next attempt. mayQueue is set once enough
 // gates have reported that they are full, or when no other gate is left.
 func (n *Node) chooseTarget(s *step, c *call) (choice placement.Choice, mayQueue bool) {
-	req := placement.Request{Service: c.service, Route: c.route.Name, Idempotent: c.route.Idempotent, TimeToTarget: c.targetAt.Sub(s.now)}
+	req := placement.Request{Service: c.service, Route: c.route.Name, Idempotent: c.route.Idempotent, TimeToTarget: c.targetAt.Sub(s.now), Work: c.work}
 	if len(c.fullInstances) < c.probeLimit {
 		req.Excluded = slices.Concat(c.excluded, c.fullInstances)
 		choice = n.table.Choose(s.now, s.random.Next(), req)
@@ -270,6 +275,9 @@
 		return
 	}
 	c.inFlight = false
+	if e.Outcome == mesh.Answered && !e.Failed {
+		n.recordWork(s.now, c.features, n.table.RelativeWork(s.now, c.choice, e.Duration))
+	}
 	n.table.Done(s.now, c.choice, placement.Result{
 		Served: e.Outcome == mesh.Answered, Failed: e.Failed || e.Outcome == mesh.MayHaveRun || e.Outcome == mesh.NotRun && e.Reached,
 		Draining: e.Reason == mesh.ReasonDraining, Probed: !c.mayQueue, Full: e.Reason == mesh.ReasonOverload && !e.Reached, Duration: e.Duration, Bytes: e.Bytes, Backlog: e.Backlog, Load: e.Load, HasLoad: e.HasLoad,
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -23,6 +23,9 @@
 	Fingerprint mesh.Fingerprint
 	// Key is the key of a tenant that the request carries, empty for none.
 	Key string
+	// Method and BodyBytes describe the request for the prediction of its work.
+	Method    string
+	BodyBytes int
 	// Budget is the time for which the client still waits. Zero means no limit. It is
 	// unrelated to the retry budget.
 	Budget time.Duration
@@ -78,6 +81,10 @@
 	Suspicion   poison.Suspicion
 	// RepeatProbability is CallEffect.RepeatProbability of the forwarded attempt.
 	RepeatProbability float64
+	// Method, Path and BodyBytes describe the request for the prediction of its work.
+	Method    string
+	Path      string
+	BodyBytes int
 }
 
 // GateResult is the way in which a request to an instance ended.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -8,6 +8,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
+	"github.com/chicoryscale/chicoryscale/internal/workcost"
 )
 
 const (
@@ -33,6 +34,7 @@
 	suspicion         poison.Suspicion // known when the request arrived
 	repeatProbability float64
 	dispatchedAt      mesh.Time
+	features          workcost.Request
 }
 
 // localInstance is the instance on this host.
@@ -79,11 +81,11 @@
 		n.rejectAtGate(s, e.Call, mesh.ReasonOverload, poison.Suspicion{})
 		return
 	}
-	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, suspicion: check.Suspicion, repeatProbability: e.RepeatProbability}
+	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, suspicion: check.Suspicion, repeatProbability: e.RepeatProbability, features: e.workRequest()}
 	n.gateEffects = n.gate.Arrive(s.now, admission.Call{
 		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank), TenantRank: e.TenantRank,
 		Deadline: s.now.Add(e.TimeLeft), Target: s.now.Add(e.TimeToTarget),
-		Fingerprint: e.Fingerprint, Exclusive: check.Verdict == poison.Suspect,
+		Fingerprint: e.Fingerprint, Exclusive: check.Verdict == poison.Suspect, Work: n.predictWork(s.now, e.workRequest()),
 	}, n.gateEffects)
 }
 
@@ -125,6 +127,9 @@
 	n.countEvidence(s, c, e)
 	switch e.Result {
 	case GateAnswered:
+		if !e.Failed {
+			n.recordWork(s.now, c.features, n.gate.RelativeWork(c.instance, c.route, s.now.Sub(c.dispatchedAt)))
+		}
 		if n.poison.RecordSuccess(s.now, c.fingerprint, c.suspicion) {
 			s.log("request.cleared", "fingerprint", uint64(c.fingerprint), "instance", string(c.instance))
 		}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -21,6 +21,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/random"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
+	"github.com/chicoryscale/chicoryscale/internal/workcost"
 )
 
 // Settings describe the host and the limits of the deployment.
@@ -38,6 +39,9 @@
 	Incarnation mesh.Incarnation
 	// Repeats is the retry budget that all nodes of the deployment share.
 	Repeats retry.WindowBudget
+	// WorkAware makes placement and the gate use the predicted work of each request
+	// instead of the mean work of its route.
+	WorkAware bool
 }
 
 // Node is the reducer of one sidecar.
@@ -49,6 +53,7 @@
 	gate     *admission.Gate
 	poison   *poison.Table
 	rollouts *rollout.Reducer
+	work     *workcost.Estimator // nil unless Settings.WorkAware is set
 	windows  map[mesh.Service]*retry.Window
 	// routeWindows count the requests and repeats of each route at this node as the
 	// entry node. runs counts the runs of the instance on this host.
@@ -113,6 +118,9 @@
 		firstAnnounced: make(map[mesh.InstanceID]mesh.Time),
 		started:        now,
 	}
+	if s.WorkAware {
+		n.work = workcost.New()
+	}
 	n.self = Member{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr,
 		LinkMbps: s.LinkMbps, Incarnation: s.Incarnation, Sequence: 1,
