Send the expected start between nodes and export metrics of predicted work

The expected start travels in a header of its own, Chicory-Starts-In: nodes of older builds accept a Chicory-Result only with ten fields, and drop headers between nodes that they don't know. Without the header, placement uses the load as before.

--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -48,7 +48,11 @@
 	backlog    time.Duration // time that large answers wait for the host's link
 	load       mesh.Load     // of the gate, valid if hasLoad is set
 	hasLoad    bool
-	response   *upstream.Response // set if the outcome is Answered
+	// startsIn is the time after which the gate expects a request that arrives now to
+	// start, valid if hasStartsIn is set.
+	startsIn    time.Duration
+	hasStartsIn bool
+	response    *upstream.Response // set if the outcome is Answered
 }
 
 // failed reports whether the instance answered with a server error.
@@ -156,6 +160,7 @@
 	n.step(proxy.GateArrived{
 		Call: id, Instance: f.instance, Route: f.route, Rank: f.rank, Tenant: mesh.Tenant(f.header.Get(n.headers.Tenant)), TenantRank: f.tenantRank, TimeLeft: f.deadline.Sub(n.now()), TimeToTarget: f.leftToTarget,
 		MayQueue: f.mayQueue, Fingerprint: f.fingerprint, Suspicion: f.suspicion, RepeatProbability: f.repeatProbability,
+		Method: f.method, Path: pathOf(f.target), BodyBytes: len(f.body),
 	})
 	select {
 	case e := <-effects:
@@ -163,10 +168,15 @@
 			waited := time.Since(arrived)
 			a := n.dispatch(ctx, id, f)
 			a.waited = waited
+			n.metrics.work.recordRun(e.Predicted, &a)
 			return a
 		}
 		n.logGateResult(f, id, "rejected", e.Reason, e.Load, 0, nil)
-		return gateAnswer{outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, suspicion: e.Suspicion}
+		n.metrics.work.recordRefusal(e.Reason, f.deadline.Sub(n.now()))
+		return gateAnswer{
+			outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, suspicion: e.Suspicion,
+			startsIn: e.StartsIn, hasStartsIn: e.HasStartsIn,
+		}
 	case <-ctx.Done():
 	}
 	n.step(proxy.GateCancelled{Call: id})
@@ -212,6 +222,7 @@
 			a.suspicion = r.Suspicion(n.now(), f.fingerprint)
 		}
 		a.load, a.hasLoad = r.LocalLoad(), true
+		a.startsIn, a.hasStartsIn = r.LocalStartsIn(n.now())
 	})
 	a.duration = time.Since(began)
 	n.metrics.recordGate(done.Result, time.Since(began))
--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -28,7 +28,11 @@
 	// headerTenantRank holds the rank of the request's tenant. It is omitted if that is
 	// zero.
 	headerTenantRank = "Chicory-Tenant-Rank"
-	fieldSeparator   = ";"
+	// headerStartsIn holds the milliseconds after which the gate expects a request that
+	// arrives now to start. It is a header of its own because nodes of older builds accept
+	// a headerResult only with the number of fields that they know.
+	headerStartsIn = "Chicory-Starts-In"
+	fieldSeparator = ";"
 )
 
 // Number of fields of headerCall and headerResult.
@@ -178,6 +182,22 @@
 		strconv.FormatInt(a.backlog.Milliseconds(), 10), strconv.FormatInt(a.waited.Microseconds(), 10),
 	}, fieldSeparator))
 	setCleared(h, a.suspicion)
+	if a.hasStartsIn {
+		h.Set(headerStartsIn, strconv.FormatInt(a.startsIn.Milliseconds(), 10))
+	}
+}
+
+// maxStartsIn bounds the expected wait that a gate may report.
+const maxStartsIn = time.Minute
+
+// parseStartsIn parses headerStartsIn. It reports false for a missing or malformed value,
+// as in the answer of a node that doesn't predict work.
+func parseStartsIn(h http.Header) (time.Duration, bool) {
+	v, err := strconv.ParseUint(h.Get(headerStartsIn), 10, 32)
+	if err != nil {
+		return 0, false
+	}
+	return min(time.Duration(v)*time.Millisecond, maxStartsIn), true
 }
 
 // decodeGateAnswer decodes the gate's result and removes the headers between nodes. It
@@ -186,6 +206,7 @@
 func decodeGateAnswer(h http.Header) (gateAnswer, bool) {
 	fields := strings.Split(h.Get(headerResult), fieldSeparator)
 	cleared := parseCleared(h)
+	startsIn, hasStartsIn := parseStartsIn(h)
 	for name := range h {
 		if strings.HasPrefix(name, headerPrefix) {
 			delete(h, name)
@@ -208,6 +229,7 @@
 		load:     mesh.Load{Slots: uint16(numbers[5]), InUse: uint16(numbers[6]), Queued: uint16(numbers[7])},
 		backlog:  time.Duration(numbers[8]) * time.Millisecond,
 		waited:   time.Duration(numbers[9]) * time.Microsecond,
+		startsIn: startsIn, hasStartsIn: hasStartsIn,
 	}
 	a.reached, a.hasLoad, _ = parseFlags(fields[2]) // the loop above has checked that it is a number
 	known := a.outcome == mesh.Answered || a.outcome == mesh.NotRun || a.outcome == mesh.MayHaveRun
--- a/internal/sidecar/headers_test.go
+++ b/internal/sidecar/headers_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -39,6 +40,7 @@
 	in := gateAnswer{
 		outcome: mesh.NotRun, reason: mesh.ReasonOverload, reached: true, suspicion: poison.Suspicion{Crashes: 1, Cleared: 3}, waited: 2 * time.Millisecond, duration: 3 * time.Millisecond, backlog: 70 * time.Millisecond,
 		load: mesh.Load{Slots: 9, InUse: 8, Queued: 7}, hasLoad: true,
+		startsIn: 40 * time.Millisecond, hasStartsIn: true,
 	}
 	h := http.Header{"X-Other": {"1"}}
 	in.encode(h)
@@ -52,6 +54,26 @@
 	}
 }
 
+// Guards against a node that doesn't understand the answer of one that predicts no work,
+// such as a node of an older build, and against an expected wait that a malformed header
+// sets.
+func TestGateAnswerWithoutExpectedWait(t *testing.T) {
+	is := is.New(t)
+	in := gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonOverload, load: mesh.Load{Slots: 9}, hasLoad: true}
+	for _, text := range []string{"", "x", "-1", "99999999999"} {
+		h := http.Header{}
+		in.encode(h)
+		is.Equal(len(h), 1)
+		is.Equal(strings.Count(h.Get(headerResult), fieldSeparator), resultFields-1) // as older nodes expect
+		if text != "" {
+			h.Set(headerStartsIn, text)
+		}
+		out, ok := decodeGateAnswer(h)
+		is.True(ok)
+		is.Equal(out, in)
+	}
+}
+
 // Guards against hop-by-hop headers, or headers between nodes, of a client's request that
 // reach the instance.
 func TestEndToEndHeaderDropsHopByHopHeaders(t *testing.T) {
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -63,9 +63,9 @@
 		delete(n.callEffects, req.id)
 		n.mu.Unlock()
 	}()
-	path, _, _ := strings.Cut(r.RequestURI, "?")
 	n.step(proxy.CallArrived{
-		Call: req.id, Host: r.Host, Path: path, Fingerprint: req.fingerprint, Budget: parseMillis(r.Header.Get(n.headers.DeadlineMillis)), Key: r.Header.Get(n.headers.Key),
+		Call: req.id, Host: r.Host, Path: pathOf(r.RequestURI), Fingerprint: req.fingerprint, Budget: parseMillis(r.Header.Get(n.headers.DeadlineMillis)), Key: r.Header.Get(n.headers.Key),
+		Method: r.Method, BodyBytes: len(body),
 	})
 	outcome := req.run(w)
 	n.metrics.recordCall(outcome, time.Since(began))
@@ -74,6 +74,12 @@
 		"to", string(outcome.host), "instance", string(outcome.instance), "ms", time.Since(began).Milliseconds())
 }
 
+// pathOf returns the path of a request target, without the query.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
 // readBody reads the body of a request. The buffer counts against the node's memory
 // budget until it is released.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request) (*membudget.Buffer, error) {
@@ -180,6 +186,7 @@
 	n.step(proxy.AttemptDone{
 		Call: r.id, Attempt: e.Attempt, Outcome: a.outcome, Reason: a.reason, Failed: a.failed(), Reached: a.reached,
 		HostFailed: a.hostFailed, Suspicion: a.suspicion, Duration: max(a.duration, time.Since(started)-a.waited), Bytes: a.bytes(), Backlog: a.backlog, Load: a.load, HasLoad: a.hasLoad,
+		StartsIn: a.startsIn, HasStartsIn: a.hasStartsIn,
 	})
 }
 
--- a/internal/sidecar/metrics.go
+++ b/internal/sidecar/metrics.go
@@ -29,6 +29,7 @@
 	gateDuration  metric.Float64Histogram             // of requests at the instance
 	statusOptions map[string]metric.MeasurementOption // by status class
 	resultOptions []metric.MeasurementOption          // by proxy.GateResult
+	work          *workMetrics
 }
 
 func newMetrics(n *Node) (*metrics, error) {
@@ -55,6 +56,9 @@
 	for _, name := range gateResultNames {
 		m.resultOptions = append(m.resultOptions, metric.WithAttributes(attribute.String("result", name)))
 	}
+	if m.work, err = newWorkMetrics(meter, n); err != nil {
+		return nil, err
+	}
 	return m, registerCounters(meter, n)
 }
 
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -40,6 +40,8 @@
 	GracePeriod time.Duration
 	// Repeats is the retry budget. It covers the attempts of all nodes together.
 	Repeats retry.WindowBudget
+	// WorkAware makes placement and the gate use the predicted work of each request.
+	WorkAware bool
 	// LinkMbps is the bandwidth of the host's link in Mbit/s.
 	LinkMbps int
 	// MemoryBytes is the memory that the process may use. If zero,
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -102,7 +102,7 @@
 	n.reducer = proxy.New(n.now(), proxy.Settings{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: cmp.Or(s.AdvertisedForward, s.ForwardAddr),
 		PeerAddr: cmp.Or(s.AdvertisedPeer, s.PeerAddr), LinkMbps: s.LinkMbps, Service: s.Service,
-		Incarnation: mesh.Incarnation(n.startTime), Repeats: s.Repeats,
+		Incarnation: mesh.Incarnation(n.startTime), Repeats: s.Repeats, WorkAware: s.WorkAware,
 	})
 	var err error
 	n.metrics, err = newMetrics(n)
