--- a/internal/admission/fair.go
+++ b/internal/admission/fair.go
@@ -101,11 +101,13 @@
 
 // victim returns the index of the call to be shed in favour of rec: the last call of the
 // tenant that has the largest recent share of the work among those of rec's rank. It
-// returns -1 if there is none with a larger share than rec's tenant.
+// returns -1 if there is none with a larger share than rec's tenant. Calls without a
+// tenant, such as calls between services, are never shed in favour of others: together
+// they may have a large share, but no tenant is responsible for it.
 func (g *Gate) victim(now mesh.Time, queue []*call, rec *call) int {
 	best, bestShare := -1, largerShare*g.shares.served(now, rec.Tenant)
 	for i, q := range queue {
-		if q.TenantRank != rec.TenantRank || q.Tenant == rec.Tenant || q.Work == 0 {
+		if q.TenantRank != rec.TenantRank || q.Tenant == rec.Tenant || q.Tenant == "" || q.Work == 0 {
 			continue
 		}
 		share := g.shares.served(now, q.Tenant)
--- a/internal/workcost/estimator_test.go
+++ b/internal/workcost/estimator_test.go
@@ -93,3 +93,13 @@
 	}
 	is.True(l.ratio("big", "small") > 2)
 }
+
+func BenchmarkFactorAndRecord(b *testing.B) {
+	l := newLearner()
+	l.learn(200, map[string]float64{"big": 2, "small": 0.5})
+	r := l.request("big")
+	b.ReportAllocs()
+	for b.Loop() {
+		l.e.Record(l.now, r, 2*l.e.Factor(l.now, r))
+	}
+}
