--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -9,6 +9,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/quota"
+	"github.com/chicoryscale/chicoryscale/internal/workcost"
 )
 
 const (
@@ -43,8 +44,11 @@
 	// usable instance.
 	noTargetRetryAfter = 200 * time.Millisecond
 	// overloadRetryAfter is the retry-after time, before jitter, for requests that met
-	// only full instances.
+	// only full instances, if their gates report no expected wait for a slot.
 	overloadRetryAfter = 250 * time.Millisecond
+	// minRetryAfter is the least retry-after time, before jitter, that is derived from the
+	// expected wait for a slot.
+	minRetryAfter = 100 * time.Millisecond
 )
 
 // call is a request in progress at its entry node. Attempts that reach no instance are
@@ -62,6 +66,8 @@
 	targetAt    mesh.Time // time of the route's latency target
 	fingerprint mesh.Fingerprint
 	suspicion   poison.Suspicion // of crashes that the request caused
+	features    workcost.Request
+	work        float64 // predicted, as a multiple of the route's mean; zero if unknown
 
 	attempt     uint8 // number of the attempt in flight or of the last one
 	inFlight    bool
@@ -87,6 +93,10 @@
 	queueRejections []mesh.InstanceID
 	excluded        []mesh.InstanceID
 	lastReason      mesh.Reason // of the last attempt, which gave the client no answer
+	// startsIn is the shortest expected wait for a slot among the gates that refused the
+	// call, valid if hasStartsIn is set.
+	startsIn    time.Duration
+	hasStartsIn bool
 }
 
 func (e CallArrived) apply(n *Node, s *step) {
@@ -175,6 +185,8 @@
 		fingerprint: e.Fingerprint, suspicion: check.Suspicion, tenant: tenant, charge: charge,
 	}
 	c.probeLimit = n.table.ProbeCount(s.now, s.random.Next(), c.service, probesBeforeQueue)
+	c.features = c.workRequest(&e)
+	c.work = n.predictWork(s.now, c.features)
 	c.deadline = s.now.Add(limit)
 	c.targetAt = s.now.Add(route.TargetLatency - n.timeSpentByClient(route.Name, e.Budget))
 	n.calls[e.Call] = c
@@ -259,7 +271,7 @@
 // chooseTarget chooses the target of the next attempt. mayQueue is set once enough
 // gates have reported that they are full, or when no other gate is left.
 func (n *Node) chooseTarget(s *step, c *call) (choice placement.Choice, mayQueue bool) {
-	req := placement.Request{Service: c.service, Route: c.route.Name, Idempotent: c.route.Idempotent, TimeToTarget: c.targetAt.Sub(s.now)}
+	req := placement.Request{Service: c.service, Route: c.route.Name, Idempotent: c.route.Idempotent, TimeToTarget: c.targetAt.Sub(s.now), Work: c.work}
 	if len(c.fullInstances) < c.probeLimit {
 		req.Excluded = slices.Concat(c.excluded, c.fullInstances)
 		choice = n.table.Choose(s.now, s.random.Next(), req)
@@ -277,6 +289,9 @@
 		return
 	}
 	c.inFlight = false
+	if e.Outcome == mesh.Answered && !e.Failed {
+		n.recordWork(s.now, c.features, n.table.RelativeWork(s.now, c.choice, e.Duration))
+	}
 	limited := e.isLimitRefusal()
 	if limited {
 		e.Load = limitedLoad(e.Load)
@@ -284,6 +299,7 @@
 	n.table.Done(s.now, c.choice, placement.Result{
 		Served: e.Outcome == mesh.Answered, Failed: e.Failed || e.Outcome == mesh.MayHaveRun || e.Outcome == mesh.NotRun && e.Reached,
 		Draining: e.Reason == mesh.ReasonDraining, Probed: !c.mayQueue && !limited, Full: e.Reason == mesh.ReasonOverload && !e.Reached, Duration: e.Duration, Bytes: e.Bytes, Backlog: e.Backlog, Load: e.Load, HasLoad: e.HasLoad,
+		StartsIn: e.StartsIn, HasStartsIn: e.HasStartsIn && n.work != nil && !limited,
 	})
 	if e.HostFailed {
 		n.markUnreachable(s, c.choice.Host)
@@ -300,6 +316,9 @@
 		return
 	}
 	c.lastReason = e.Reason
+	if e.HasStartsIn && n.work != nil && (!c.hasStartsIn || e.StartsIn < c.startsIn) {
+		c.startsIn, c.hasStartsIn = e.StartsIn, true
+	}
 	n.continueAfterAttempt(s, c, e, limited)
 }
 
@@ -402,6 +421,9 @@
 	if reason == mesh.ReasonNoTarget || reason == mesh.ReasonConnectionLost || reason == mesh.ReasonDraining {
 		base = noTargetRetryAfter
 	}
+	if c.hasStartsIn && (reason == mesh.ReasonOverload || reason == mesh.ReasonDeadline) {
+		base = max(2*c.startsIn, minRetryAfter) // after jitter at least startsIn
+	}
 	return min(s.jitter(base), max(c.deadline.Sub(s.now)/3, 0))
 }
 
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -25,6 +25,9 @@
 	Fingerprint mesh.Fingerprint
 	// Key is the key of a tenant that the request carries, empty for none.
 	Key string
+	// Method and BodyBytes describe the request for the prediction of its work.
+	Method    string
+	BodyBytes int
 	// Budget is the time for which the client still waits. Zero means no limit. It is
 	// unrelated to the retry budget.
 	Budget time.Duration
@@ -56,6 +59,10 @@
 	// Load is the gate's load, valid when HasLoad is set.
 	Load    mesh.Load
 	HasLoad bool
+	// StartsIn is the time after which the gate expects a request that arrives now to
+	// start, valid when HasStartsIn is set.
+	StartsIn    time.Duration
+	HasStartsIn bool
 }
 
 // CallCancelled reports that the client has disconnected.
@@ -80,6 +87,10 @@
 	Suspicion   poison.Suspicion
 	// RepeatProbability is CallEffect.RepeatProbability of the forwarded attempt.
 	RepeatProbability float64
+	// Method, Path and BodyBytes describe the request for the prediction of its work.
+	Method    string
+	Path      string
+	BodyBytes int
 }
 
 // GateResult is the way in which a request to an instance ended.
@@ -309,6 +320,11 @@
 	Deadline  mesh.Time
 	Load      mesh.Load
 	Suspicion poison.Suspicion
+	// StartsIn is AttemptDone.StartsIn for a rejected request.
+	StartsIn    time.Duration
+	HasStartsIn bool
+	// Predicted is the predicted duration of a dispatched request, zero if none is.
+	Predicted time.Duration
 }
 
 // PeerCheck requests an exchange with a peer, to find out whether it is alive.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -9,6 +9,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
+	"github.com/chicoryscale/chicoryscale/internal/workcost"
 )
 
 const (
@@ -36,6 +37,7 @@
 	suspicion         poison.Suspicion // known when the request arrived
 	repeatProbability float64
 	dispatchedAt      mesh.Time
+	features          workcost.Request
 }
 
 // localInstance is the instance on this host.
@@ -87,11 +89,11 @@
 		n.refuseWarmUp(s, e.Call, load)
 		return
 	}
-	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, suspicion: check.Suspicion, repeatProbability: e.RepeatProbability}
+	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, suspicion: check.Suspicion, repeatProbability: e.RepeatProbability, features: e.workRequest()}
 	n.gateEffects = n.gate.Arrive(s.now, admission.Call{
-		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank), TenantRank: e.TenantRank,
+		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank), Tenant: e.Tenant, TenantRank: e.TenantRank,
 		Deadline: s.now.Add(e.TimeLeft), Target: s.now.Add(e.TimeToTarget),
-		Fingerprint: e.Fingerprint, Exclusive: check.Verdict == poison.Suspect,
+		Fingerprint: e.Fingerprint, Exclusive: check.Verdict == poison.Suspect, Work: n.predictWork(s.now, e.workRequest()),
 	}, n.gateEffects)
 }
 
@@ -119,6 +121,7 @@
 	s.out.Gates = append(s.out.Gates, GateEffect{
 		Call: id, Action: GateReject, Reason: reason, Load: n.gate.Load(n.local.id), Suspicion: suspicion,
 	})
+	n.setStartsIn(s)
 }
 
 func (e GateDone) apply(n *Node, s *step) {
@@ -136,6 +139,9 @@
 	}
 	switch e.Result {
 	case GateAnswered:
+		if !e.Failed {
+			n.recordWork(s.now, c.features, n.gate.RelativeWork(c.instance, c.route, s.now.Sub(c.dispatchedAt)))
+		}
 		if n.poison.RecordSuccess(s.now, c.fingerprint, c.suspicion) {
 			s.log("request.cleared", "fingerprint", uint64(c.fingerprint), "instance", string(c.instance))
 		}
@@ -212,12 +218,13 @@
 				}
 			}
 			s.out.Gates = append(s.out.Gates, GateEffect{
-				Call: e.Call, Action: GateDispatch, Instance: e.Instance, Deadline: e.Deadline, Load: e.Load,
+				Call: e.Call, Action: GateDispatch, Instance: e.Instance, Deadline: e.Deadline, Load: e.Load, Predicted: e.Predicted,
 			})
 		case admission.Reject:
 			delete(n.gateCalls, e.Call)
 			n.counters.GateRejected++
 			s.out.Gates = append(s.out.Gates, GateEffect{Call: e.Call, Action: GateReject, Reason: e.Reason, Load: e.Load})
+			n.setStartsIn(s)
 		}
 	}
 	n.gateEffects = n.gateEffects[:0]
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -24,6 +24,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
 	"github.com/chicoryscale/chicoryscale/internal/warmup"
+	"github.com/chicoryscale/chicoryscale/internal/workcost"
 )
 
 // Settings describe the host and the limits of the deployment.
@@ -46,6 +47,9 @@
 	// Quota states by how much tenants may exceed their quotas. The zero value stands for
 	// quota.DefaultBounds.
 	Quota quota.Bounds
+	// WorkAware makes placement and the gate use the predicted work of each request
+	// instead of the mean work of its route.
+	WorkAware bool
 }
 
 // Node is the reducer of one sidecar.
@@ -57,6 +61,7 @@
 	gate     *admission.Gate
 	poison   *poison.Table
 	rollouts *rollout.Reducer
+	work     *workcost.Estimator // nil unless Settings.WorkAware is set
 	windows  map[mesh.Service]*retry.Window
 	// routeWindows count the requests and repeats of each route at this node as the
 	// entry node. runs counts the runs of the instance on this host.
@@ -132,6 +137,9 @@
 		started:        now,
 		quota:          quota.NewNode(now, s.Host, s.Incarnation, cmp.Or(s.Quota, quota.DefaultBounds)),
 	}
+	if s.WorkAware {
+		n.work = workcost.New()
+	}
 	n.self = Member{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr,
 		LinkMbps: s.LinkMbps, Incarnation: s.Incarnation, Sequence: 1,
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -46,6 +46,8 @@
 	Warmup warmup.Bounds
 	// Quota states by how much tenants may exceed their quotas.
 	Quota quota.Bounds
+	// WorkAware makes placement and the gate use the predicted work of each request.
+	WorkAware bool
 	// LinkMbps is the bandwidth of the host's link in Mbit/s.
 	LinkMbps int
 	// MemoryBytes is the memory that the process may use. If zero,
