End a lost row at once when the operator removes it

The retention also no longer drops rows that are added while it runs. Found by reading; the test of the older copy now covers the removal. The digest uses xxhash, as elsewhere.

--- a/internal/sidecar/era.go
+++ b/internal/sidecar/era.go
@@ -2,14 +2,14 @@
 
 import (
 	"context"
-	"hash/fnv"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
@@ -59,13 +59,14 @@
 	return rows, l.until.Sub(now)
 }
 
-// replace replaces all rows.
-func (l *lostRows) replace(rows []Change) {
+// remove removes rows unless they have been replaced.
+func (l *lostRows) remove(rows []Change) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	clear(l.rows)
 	for _, c := range rows {
-		l.rows[c.Key] = c
+		if l.rows[c.Key].Revision == c.Revision {
+			delete(l.rows, c.Key)
+		}
 	}
 }
 
@@ -74,9 +75,9 @@
 	if len(rows) == 0 {
 		return 0
 	}
-	h := fnv.New64a()
+	h := xxhash.New()
 	for _, c := range rows {
-		_, _ = h.Write([]byte(c.Key + "\x00" + strconv.FormatUint(uint64(c.Revision), 10) + "\x00")) // never fails
+		_, _ = h.WriteString(c.Key + "\x00" + c.Revision.String() + "\x00") // never fails
 	}
 	return h.Sum64()
 }
@@ -91,7 +92,7 @@
 		return false
 	}
 	if t == TableOperator {
-		n.lostRows.add(n.stillInForce(lost), time.Now().Add(missingRowRetention))
+		n.keepLostRows(lost, missingRowRetention)
 	}
 	n.deliver(t, applied)
 	if revision.Era() > before.Era() {
@@ -122,22 +123,31 @@
 	}
 }
 
-// stillInForce selects, of the operator's rows that the store has lost or that it has in
-// another form, those that stay in force: the missing ones, and a configuration that the
-// store has in an older version.
-func (n *Node) stillInForce(lost []Change) []Change {
-	return slices.DeleteFunc(lost, func(c Change) bool {
-		current := n.replicas[TableOperator].row(c.Key)
-		if c.Deleted || current.Revision.Version() == 0 {
-			return c.Deleted
-		}
-		old, err := n.platform.DecodeOperatorRow(c.Row)
-		if err != nil || old.Configuration == nil {
-			return true
+// stillInForce reports whether an operator's row that the store has lost, or that it has in
+// another form, stays in force: it is missing and wasn't removed since, or it is a configuration of which the store
+// has an older version.
+func (n *Node) stillInForce(c Change) bool {
+	current := n.replicas[TableOperator].row(c.Key)
+	if c.Deleted || current.Revision.Version() == 0 {
+		return !c.Deleted && !n.replicas[TableOperator].has(c.Key)
+	}
+	old, err := n.platform.DecodeOperatorRow(c.Row)
+	if err != nil || old.Configuration == nil {
+		return false
+	}
+	row, err := n.platform.DecodeOperatorRow(current)
+	return err != nil || row.Configuration == nil || row.Configuration.Version < old.Configuration.Version
+}
+
+// keepLostRows keeps rows in force for the given time and returns those not known yet.
+func (n *Node) keepLostRows(rows []Change, left time.Duration) []Change {
+	var kept []Change
+	for _, c := range rows {
+		if n.stillInForce(c) {
+			kept = append(kept, c)
 		}
-		row, err := n.platform.DecodeOperatorRow(current)
-		return err == nil && row.Configuration != nil && row.Configuration.Version >= old.Configuration.Version
-	})
+	}
+	return n.lostRows.add(kept, time.Now().Add(left))
 }
 
 // applyDelta applies the changes of the selected rows that a peer has sent. Those of a
@@ -171,7 +181,7 @@
 // after the change of the era learns of them only in this way.
 func (n *Node) applyLostRows(rows []Change, left time.Duration) {
 	if left > 0 {
-		n.deliver(TableOperator, n.lostRows.add(n.stillInForce(rows), time.Now().Add(min(left, missingRowRetention))))
+		n.deliver(TableOperator, n.keepLostRows(rows, min(left, missingRowRetention)))
 	}
 }
 
@@ -179,17 +189,15 @@
 // missingRowRetention all others, of which the missing ones count as removed.
 func (n *Node) expireLostRows() {
 	rows, left := n.lostRows.list(time.Now())
-	if len(rows) == 0 {
-		return
-	}
-	rows = n.stillInForce(rows)
-	if left > 0 {
-		n.lostRows.replace(rows)
-		return
-	}
-	n.lostRows.replace(nil)
+	var dropped []Change
 	for _, c := range rows {
-		if n.replicas[TableOperator].row(c.Key).Revision.Version() == 0 {
+		if left <= 0 || !n.stillInForce(c) {
+			dropped = append(dropped, c)
+		}
+	}
+	n.lostRows.remove(dropped)
+	for _, c := range dropped {
+		if !n.replicas[TableOperator].has(c.Key) {
 			n.log.Event("operator.row_lost", "key", c.Key, "revision", c.Revision)
 			n.deliver(TableOperator, []Change{{Row: c.Row, Deleted: true}})
 		}
--- a/internal/sidecar/era_test.go
+++ b/internal/sidecar/era_test.go
@@ -139,7 +139,7 @@
 func TestOperatorRowsOutlastAnOlderCopy(t *testing.T) {
 	is := is.New(t)
 	n, _ := newEraNode(t, "a")
-	n.applyState(TableOperator, []Change{rowChange("config", "5", 0, 50), rowChange("row", "x", 0, 40)}, 60, allRows)
+	n.applyState(TableOperator, []Change{rowChange("config", "5", 0, 50), rowChange("row", "x", 0, 40), rowChange("ended", "y", 0, 41)}, 60, allRows)
 	older := []Change{rowChange("config", "4", 1, 30)}
 	n.applyState(TableOperator, older, platform.NewRevision(1, 30), allRows)
 	is.Equal(n.configVersion(), mesh.ConfigVersion(5))
@@ -149,10 +149,11 @@
 	started.pullFrom(t, n)
 	is.Equal(started.configVersion(), mesh.ConfigVersion(5))
 	rows, left := started.lostRows.list(time.Now())
-	is.Equal(len(rows), 2)
+	is.Equal(len(rows), 3)
 	is.True(left > 0 && left <= missingRowRetention)
-	// The operator writes the configuration again, but not the other row.
-	n.applyChanges(TableOperator, []Change{rowChange("config", "5", 1, 31)}, platform.NewRevision(1, 31))
+	// The operator writes the configuration again and removes one of the other rows.
+	removal := testChange("ended", platform.NewRevision(1, 32), true)
+	n.applyChanges(TableOperator, []Change{rowChange("config", "5", 1, 31), removal}, removal.Revision)
 	n.expireLostRows()
 	rows, _ = n.lostRows.list(time.Now())
 	is.Equal(len(rows), 1)
--- a/internal/sidecar/replica.go
+++ b/internal/sidecar/replica.go
@@ -126,6 +126,14 @@
 	return r.revision
 }
 
+// has reports whether the copy knows of a row or its removal in its era.
+func (r *replica) has(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, ok := r.rows[key]
+	return ok && c.Revision.Era() >= r.revision.Era()
+}
+
 // row returns the row of a key. If it doesn't exist in the copy's era, the version of its
 // revision is zero.
 func (r *replica) row(key string) platform.Row {
