Charge waiting requests and small answers, and don't take a full pool for a failed host

A request in progress and an answer of up to 16 KB were not charged. A pool of connections to another host that is full counted as a failure of that host. TestLimitOfConnectionsIsNoFailureOfTheHost failed before.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -165,7 +165,7 @@
 	if bodyBytes < 0 || bodyBytes > maxBodyCharge {
 		bodyBytes = maxBodyCharge
 	}
-	return Memory, c.guard.charge(c, int(bodyBytes))
+	return Memory, c.guard.charge(c, requestCharge+int(bodyBytes))
 }
 
 // RequestRead is called when the request is complete. From then on the client waits for
@@ -173,6 +173,10 @@
 // read its answer.
 func (c *Conn) RequestRead() { c.setPhase(phaseRunning) }
 
+// HoldAnswer charges an answer that is about to be written until RequestEnded. An answer
+// is never refused: the request has run.
+func (c *Conn) HoldAnswer(bytes int) { c.guard.hold(c, min(bytes, maxBodyCharge)) }
+
 // RequestEnded is called when the answer has been written.
 func (c *Conn) RequestEnded() {
 	c.setPhase(phaseIdle)
--- a/internal/clientlimit/guard.go
+++ b/internal/clientlimit/guard.go
@@ -80,6 +80,7 @@
 // takes about 110 bytes when it is parsed and as much again when it is forwarded.
 const (
 	connCharge      = 16 << 10
+	requestCharge   = 16 << 10 // copies of the head, a goroutine and the state of the request
 	fieldCharge     = 256
 	headBytesFactor = 2
 	// maxBodyCharge is the part of a body that is charged here. Larger bodies are
@@ -186,6 +187,16 @@
 	return true
 }
 
+// hold is like charge but always adds the bytes.
+func (g *Guard) hold(c *Conn, bytes int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, open := g.conns[c]; open {
+		c.charge += bytes
+		g.charged += bytes
+	}
+}
+
 func (g *Guard) discharge(c *Conn, bytes int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -84,6 +84,9 @@
 // classifyHostError returns the result of a request that could not be sent to another
 // node, or whose answer did not arrive.
 func classifyHostError(ctx context.Context, err error) gateAnswer {
+	if errorx.IsOfType(err, upstream.ErrBusy) { // a limit of this node, which says nothing about the host
+		return gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonOverload}
+	}
 	cancelled := ctx.Err() != nil
 	a := gateAnswer{outcome: mesh.MayHaveRun, reason: mesh.ReasonConnectionLost, hostFailed: !cancelled, reached: true}
 	if cancelled {
@@ -133,6 +136,7 @@
 		content = a.response.Content()
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(content.Len()))
+	holdAnswer(r, content.Len())
 	w.WriteHeader(status)
 	if err := n.link.Send(r.Context(), w, content, http.NewResponseController(w).Flush); err != nil {
 		n.log.Line(time.Now(), "gate.write_failed", "remote", r.RemoteAddr, "error", err.Error())
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -233,6 +233,7 @@
 		header["Content-Type"] = nil // keeps net/http from setting a guessed type
 	}
 	header.Set("Content-Length", strconv.Itoa(resp.Size()))
+	holdAnswer(r.http, resp.Size())
 	w.WriteHeader(resp.Status)
 	err := n.link.Send(r.http.Context(), w, resp.Content(), http.NewResponseController(w).Flush)
 	if err == nil {
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -149,6 +149,13 @@
 	}
 }
 
+// holdAnswer charges the client's connection for an answer until it has been written.
+func holdAnswer(r *http.Request, bytes int) {
+	if conn := clientlimit.FromContext(r.Context()); conn != nil {
+		conn.HoldAnswer(bytes)
+	}
+}
+
 // limitRequests wraps a handler so that requests beyond the limits are refused. None of
 // them is forwarded, so 503 is truthful.
 func (n *Node) limitRequests(next http.HandlerFunc) http.HandlerFunc {
--- a/internal/sidecar/status_test.go
+++ b/internal/sidecar/status_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/upstream"
 )
 
 // answerer accepts connections, reads one request from each, sends the answer and
@@ -116,3 +117,13 @@
 		}
 	}
 }
+
+// Guards against this node's own limit on connections being taken for a failure of the
+// host, which would take the host out of routing.
+func TestLimitOfConnectionsIsNoFailureOfTheHost(t *testing.T) {
+	is := is.New(t)
+	a := classifyHostError(t.Context(), upstream.ErrBusy.New("all connections are in use"))
+	is.Equal(a.outcome, mesh.NotRun)
+	is.Equal(a.reason, mesh.ReasonOverload)
+	is.True(!a.hostFailed)
+}
