--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -29,8 +29,8 @@
 	charge   int    // bytes charged to the guard; guarded by guard.mu
 
 	phase      atomic.Int32
-	phaseSince atomic.Int64 // ns; for phaseHead and phaseBody the arrival of the head's first byte
-	progressAt atomic.Int64 // ns; time of the latest byte received or sent
+	phaseSince atomic.Int64 // ns since processStart; for phaseHead and phaseBody the arrival of the head's first byte
+	progressAt atomic.Int64 // ns since processStart; time of the latest byte received or sent
 	writing    atomic.Bool  // a Write is in progress
 	// received and sent count the bytes of the latest request and its answer.
 	received, sent atomic.Int64
@@ -41,8 +41,14 @@
 	sawRead   bool
 }
 
+// processStart is the origin of the times of connections. They are monotonic, so that a jump
+// of the wall clock closes no connection.
+var processStart = time.Now()
+
+func sinceStart() int64 { return int64(time.Since(processStart)) }
+
 func (c *Conn) setPhase(p phase) {
-	now := time.Now().UnixNano()
+	now := sinceStart()
 	c.phaseSince.Store(now)
 	c.progressAt.Store(now)
 	c.phase.Store(int32(p))
@@ -60,7 +66,7 @@
 	if n == 0 {
 		return n, err
 	}
-	c.progressAt.Store(time.Now().UnixNano())
+	c.progressAt.Store(sinceStart())
 	c.received.Add(int64(n))
 	if len(p) == 1 {
 		// While a handler runs, net/http reads one byte in the background to notice that
@@ -106,7 +112,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	c.progressAt.Store(time.Now().UnixNano())
+	c.progressAt.Store(sinceStart())
 	c.writing.Store(true)
 	defer c.writing.Store(false)
 	written := 0
@@ -114,7 +120,7 @@
 		n, err := c.Conn.Write(p[written:min(written+writePieceBytes, len(p))])
 		written += n
 		c.sent.Add(int64(n))
-		c.progressAt.Store(time.Now().UnixNano())
+		c.progressAt.Store(sinceStart())
 		if err != nil {
 			return written, err
 		}
@@ -148,9 +154,9 @@
 // RequestBegan is called when a head is complete. bodyBytes is the length of the body,
 // -1 if it is not known. It returns a reason if the request must be refused.
 func (c *Conn) RequestBegan(bodyBytes int64) (Reason, bool) {
-	c.progressAt.Store(time.Now().UnixNano())
+	c.progressAt.Store(sinceStart())
 	if phase(c.phase.Load()) != phaseHead {
-		c.phaseSince.Store(time.Now().UnixNano()) // the head was received with the previous request
+		c.phaseSince.Store(sinceStart()) // the head was received with the previous request
 	}
 	c.phase.Store(int32(phaseBody))
 	c.head = headScanner{}
@@ -202,7 +208,7 @@
 			return 0
 		}
 	}
-	return now.Sub(time.Unix(0, c.progressAt.Load()))
+	return now.Sub(processStart.Add(time.Duration(c.progressAt.Load())))
 }
 
 // idleFor returns the time since the previous request, zero if one is in progress.
@@ -210,7 +216,7 @@
 	if phase(c.phase.Load()) != phaseIdle || c.writing.Load() {
 		return 0
 	}
-	return now.Sub(time.Unix(0, c.phaseSince.Load()))
+	return now.Sub(processStart.Add(time.Duration(c.phaseSince.Load())))
 }
 
 // closeBefore reports whether, of two idle connections, c is to be closed first.
@@ -234,13 +240,20 @@
 
 // slow reports whether a body arrives below the minimum rate.
 func (c *Conn) slow(now time.Time) bool {
-	age := now.Sub(time.Unix(0, c.phaseSince.Load()))
+	age := now.Sub(processStart.Add(time.Duration(c.phaseSince.Load())))
 	return phase(c.phase.Load()) == phaseBody && age > slowAfter && float64(c.received.Load()) < minBytesPerSecond*age.Seconds()
 }
 
+// restart makes the connection's times begin now, after the process was frozen.
+func (c *Conn) restart(now time.Time) {
+	at := int64(now.Sub(processStart))
+	c.phaseSince.Store(at)
+	c.progressAt.Store(at)
+}
+
 // expired reports whether a timeout of the connection has passed.
 func (c *Conn) expired(now time.Time, t Timeouts) (Reason, bool) {
-	sincePhase := now.Sub(time.Unix(0, c.phaseSince.Load()))
+	sincePhase := now.Sub(processStart.Add(time.Duration(c.phaseSince.Load())))
 	switch phase(c.phase.Load()) {
 	case phaseHead:
 		if c.writing.Load() {
--- a/internal/clientlimit/guard.go
+++ b/internal/clientlimit/guard.go
@@ -73,6 +73,9 @@
 	slowAfter         = 2 * time.Second
 	// quietTime is the time without shedding after which shedding has ended.
 	quietTime = 5 * time.Second
+	// maxSweepPeriod is the time between two sweeps beyond which the process was frozen.
+	// What clients sent meanwhile has arrived but was not read, so all times start anew.
+	maxSweepPeriod = 4 * time.Second
 )
 
 // Charges for what a connection holds, in bytes. They were measured with net/http: an
@@ -103,6 +106,7 @@
 	// until quietTime has passed without another one.
 	shedAt   time.Time
 	shedding bool
+	sweptAt  time.Time
 }
 
 // New returns a guard without connections.
@@ -280,13 +284,19 @@
 	g.shedLocked(r)
 }
 
-// Sweep closes the connections whose timeouts have passed. It is to be called
-// periodically.
+// Sweep closes the connections whose timeouts have passed. It is to be called every
+// second or so.
 func (g *Guard) Sweep(now time.Time) {
 	clients := g.options.Timeouts()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	frozen := !g.sweptAt.IsZero() && now.Sub(g.sweptAt) > maxSweepPeriod
+	g.sweptAt = now
 	for c := range g.conns {
+		if frozen {
+			c.restart(now)
+			continue
+		}
 		timeouts := clients
 		if c.listener.kind != Clients {
 			timeouts = internalTimeouts
