Fit the shares of descriptors into the kernel's limit, and keep charges of peers' messages

A kernel limit below Limits.FileDescriptors left the process without descriptors for the instance and the store. The end of a peer's last call discharged the part of the next message that had arrived already.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -192,7 +192,11 @@
 	c.guard.dischargeRequest(c)
 }
 
-// Charge adds to what the connection holds until RequestEnded. It reports false if there
+// CallsEnded is called when no call of a peer is in progress any more. It leaves the
+// charges, as a part of the next message may have arrived.
+func (c *Conn) CallsEnded() { c.setPhase(phaseIdle) }
+
+// Charge adds to what the connection holds until Discharge or RequestEnded. It reports false if there
 // is no room.
 func (c *Conn) Charge(bytes int) bool { return c.guard.charge(c, bytes) }
 
--- a/internal/sidecar/limits.go
+++ b/internal/sidecar/limits.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"math"
 	"net"
 	"net/http"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
@@ -63,14 +66,26 @@
 	requests                       int // of clients that wait for an answer, each of which may open a connection
 }
 
+// kernelDescriptors returns the kernel's limit on the descriptors of the process, or the
+// default if it can't be read.
+func kernelDescriptors() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil {
+		return defaultFileDescriptors
+	}
+	return int(min(limit.Cur, math.MaxInt32))
+}
+
 // limits divides the descriptors. Half of them are for clients; peers, the store and the
-// instance always have their own.
-func (s *Settings) limits() limits {
-	free := max(cmp.Or(s.FileDescriptors, defaultFileDescriptors)-ownDescriptors, 64)
+// instance always have their own. The least numbers keep a process with very few
+// descriptors usable.
+func (s *Settings) limits(kernelDescriptors int) limits {
+	descriptors := min(cmp.Or(s.FileDescriptors, defaultFileDescriptors), kernelDescriptors)
+	free := max(descriptors-ownDescriptors, 64)
 	opened := free * 3 / 16
 	return limits{
-		calls: min(cmp.Or(s.Clients.Connections, free/2), free/2), forward: free / 8, peers: free / 8, control: free / 48,
-		instance: opened / 2, perHost: max(opened/4, 4), requests: cmp.Or(s.Clients.Requests, opened/2),
+		calls: min(cmp.Or(s.Clients.Connections, free/2), free/2), forward: free / 8, peers: free / 8, control: max(free/48, 4),
+		instance: max(opened/2, 8), perHost: max(opened/4, 4), requests: cmp.Or(s.Clients.Requests, max(opened/2, 8)),
 	}
 }
 
--- a/internal/sidecar/peerserver.go
+++ b/internal/sidecar/peerserver.go
@@ -93,12 +93,12 @@
 
 // ReadRequestBody implements rpc.ServerCodec.
 func (c *peerCodec) ReadRequestBody(body any) error {
-	err := c.decoder.Decode(body)
-	if err == nil && !c.conn.Charge(peerCallCharge) {
+	c.active.Add(1)
+	if !c.conn.Charge(peerCallCharge) {
 		_ = c.conn.Close()
-		err = ErrPeer.New("too much memory is held by connections")
+		return ErrPeer.New("too much memory is held by connections")
 	}
-	c.active.Add(1)
+	err := c.decoder.Decode(body)
 	c.conn.RequestRead()
 	return err
 }
@@ -108,7 +108,7 @@
 	defer func() {
 		c.conn.Discharge(peerCallCharge)
 		if c.active.Add(-1) == 0 {
-			c.conn.RequestEnded()
+			c.conn.CallsEnded()
 		}
 		<-c.calls
 	}()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -97,7 +97,7 @@
 		hostPools: make(map[string]*upstream.Pool), announceDue: make(chan struct{}, 1), notifyDue: make(chan struct{}, 1), rolloutWrites: make(chan rolloutWrite, rolloutQueueLen),
 	}
 	n.startTime = mesh.Time(n.started.UnixNano())
-	n.limits = s.limits()
+	n.limits = s.limits(kernelDescriptors())
 	n.guard = n.newGuard()
 	n.bodyMemory = membudget.New(s.BodyMemoryBytes())
 	n.bodyMemory.AllowLarge(s.LargeBodyBytes())
