--- a/internal/clientlimit/guard_test.go
+++ b/internal/clientlimit/guard_test.go
@@ -134,6 +134,22 @@
 	is.True(l.open(first))
 }
 
+// Guards against one address that takes the connections of all others, and against
+// callers that are kept out by stalled connections of their own address.
+func TestConnectionsOfAnAddressAreLimited(t *testing.T) {
+	is := is.New(t)
+	l := newTestListener(t, Clients, 4, roomy)
+	l.guard.options.PerAddress = 2
+	_, first := l.connect()
+	_, second := l.connect()
+	ago(first, 2*time.Second)
+	_, third := l.connect()
+	is.True(!l.open(first))
+	is.True(l.open(second) && l.open(third))
+	is.Equal(l.guard.Counts()[Address], uint64(1))
+	is.Equal(l.guard.Counts()[Connections], uint64(0))
+}
+
 // Guards against timeouts that cut off a client within the limits of the configuration:
 // a head that takes its whole time, a connection idle for four fifths of the idle timeout,
 // and a client that waits for a slow instance.
--- a/internal/sidecar/peerserver.go
+++ b/internal/sidecar/peerserver.go
@@ -19,8 +19,8 @@
 	// maxPeerCalls bounds the calls in progress on one connection of a peer. A host has a
 	// long poll, an exchange and a few notices and reports in progress.
 	maxPeerCalls = 8
-	// peerCallCharge is charged for a call in progress. A complete reply of a deployment
-	// of 90 hosts takes about 60 KB.
+	// peerCallCharge is charged for a call in progress. The rows and records of 90 hosts,
+	// which a complete reply holds, take about 24 KB encoded, and more in memory.
 	peerCallCharge = 64 << 10
 	// maxPeerRequestBytes bounds a message of a call. Digests, records and reports take
 	// a few KB.
