--- a/internal/clientlimit/guard.go
+++ b/internal/clientlimit/guard.go
@@ -144,13 +144,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	sameListener := func(o *Conn) bool { return o.listener == c.listener }
-	if c.listener.open >= c.listener.max && !g.evictLocked(now, sameListener, true, Connections) {
+	l := c.listener
+	if now.Before(l.refusedUntil) && (l.refusedAddress == "" || l.refusedAddress == c.address) {
+		g.shedLocked(l.refusedReason)
+		return false
+	}
+	sameListener := func(o *Conn) bool { return o.listener == l }
+	if l.open >= l.max && !g.evictLocked(now, sameListener, true, Connections) {
+		l.refuseForNow(now, "", Connections)
 		g.shedLocked(Connections)
 		return false
 	}
-	sameAddress := func(o *Conn) bool { return o.listener == c.listener && o.address == c.address }
-	if c.listener.kind == Clients && c.listener.byAddress[c.address] >= g.options.PerAddress && !g.evictLocked(now, sameAddress, true, Address) {
+	sameAddress := func(o *Conn) bool { return o.listener == l && o.address == c.address }
+	if l.kind == Clients && l.byAddress[c.address] >= g.options.PerAddress && !g.evictLocked(now, sameAddress, true, Address) {
+		l.refuseForNow(now, c.address, Address)
 		g.shedLocked(Address)
 		return false
 	}
@@ -163,8 +170,8 @@
 	c.charge = connCharge
 	g.charged += connCharge
 	g.conns[c] = struct{}{}
-	c.listener.open++
-	c.listener.byAddress[c.address]++
+	l.open++
+	l.byAddress[c.address]++
 	return true
 }
 
@@ -234,6 +241,7 @@
 		return false
 	}
 	delete(g.conns, c)
+	c.listener.refusedUntil = time.Time{} // there is room again
 	g.charged -= c.charge
 	c.listener.open--
 	if c.listener.byAddress[c.address]--; c.listener.byAddress[c.address] == 0 {
@@ -336,6 +344,20 @@
 	// Guarded by guard.mu.
 	open      int
 	byAddress map[string]int
+	// refusedUntil is the time until which new connections, of refusedAddress or if it is
+	// empty of all addresses, are refused without looking for one to close.
+	refusedUntil   time.Time
+	refusedAddress string
+	refusedReason  Reason
+}
+
+// refusePause is the time after a refusal in which no connection is looked for that may
+// be closed. The search takes time in proportion to the number of connections, and a
+// crowd that reconnects would cause one with each attempt.
+const refusePause = 50 * time.Millisecond
+
+func (l *listener) refuseForNow(now time.Time, address string, r Reason) {
+	l.refusedUntil, l.refusedAddress, l.refusedReason = now.Add(refusePause), address, r
 }
 
 // Listener returns a listener that accepts at most max connections at the same time.
