--- a/internal/clientlimit/guard.go
+++ b/internal/clientlimit/guard.go
@@ -73,6 +73,9 @@
 	slowAfter         = 2 * time.Second
 	// quietTime is the time without shedding after which shedding has ended.
 	quietTime = 5 * time.Second
+	// maxSweepPeriod is the time between two sweeps beyond which the process was frozen.
+	// What clients sent meanwhile has arrived but was not read, so all times start anew.
+	maxSweepPeriod = 4 * time.Second
 )
 
 // Charges for what a connection holds, in bytes. They were measured with net/http: an
@@ -80,6 +83,7 @@
 // takes about 110 bytes when it is parsed and as much again when it is forwarded.
 const (
 	connCharge      = 16 << 10
+	requestCharge   = 16 << 10 // copies of the head, a goroutine and the state of the request
 	fieldCharge     = 256
 	headBytesFactor = 2
 	// maxBodyCharge is the part of a body that is charged here. Larger bodies are
@@ -102,6 +106,7 @@
 	// until quietTime has passed without another one.
 	shedAt   time.Time
 	shedding bool
+	sweptAt  time.Time
 }
 
 // New returns a guard without connections.
@@ -139,13 +144,20 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := time.Now()
-	sameListener := func(o *Conn) bool { return o.listener == c.listener }
-	if c.listener.open >= c.listener.max && !g.evictLocked(now, sameListener, true, Connections) {
+	l := c.listener
+	if now.Before(l.refusedUntil) && (l.refusedAddress == "" || l.refusedAddress == c.address) {
+		g.shedLocked(l.refusedReason)
+		return false
+	}
+	sameListener := func(o *Conn) bool { return o.listener == l }
+	if l.open >= l.max && !g.evictLocked(now, sameListener, true, Connections) {
+		l.refuseForNow(now, "", Connections)
 		g.shedLocked(Connections)
 		return false
 	}
-	sameAddress := func(o *Conn) bool { return o.listener == c.listener && o.address == c.address }
-	if c.listener.kind == Clients && c.listener.byAddress[c.address] >= g.options.PerAddress && !g.evictLocked(now, sameAddress, true, Address) {
+	sameAddress := func(o *Conn) bool { return o.listener == l && o.address == c.address }
+	if l.kind == Clients && l.byAddress[c.address] >= g.options.PerAddress && !g.evictLocked(now, sameAddress, true, Address) {
+		l.refuseForNow(now, c.address, Address)
 		g.shedLocked(Address)
 		return false
 	}
@@ -158,8 +170,8 @@
 	c.charge = connCharge
 	g.charged += connCharge
 	g.conns[c] = struct{}{}
-	c.listener.open++
-	c.listener.byAddress[c.address]++
+	l.open++
+	l.byAddress[c.address]++
 	return true
 }
 
@@ -186,6 +198,16 @@
 	return true
 }
 
+// hold is like charge but always adds the bytes.
+func (g *Guard) hold(c *Conn, bytes int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, open := g.conns[c]; open {
+		c.charge += bytes
+		g.charged += bytes
+	}
+}
+
 func (g *Guard) discharge(c *Conn, bytes int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -219,6 +241,7 @@
 		return false
 	}
 	delete(g.conns, c)
+	c.listener.refusedUntil = time.Time{} // there is room again
 	g.charged -= c.charge
 	c.listener.open--
 	if c.listener.byAddress[c.address]--; c.listener.byAddress[c.address] == 0 {
@@ -269,13 +292,19 @@
 	g.shedLocked(r)
 }
 
-// Sweep closes the connections whose timeouts have passed. It is to be called
-// periodically.
+// Sweep closes the connections whose timeouts have passed. It is to be called every
+// second or so.
 func (g *Guard) Sweep(now time.Time) {
 	clients := g.options.Timeouts()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	frozen := !g.sweptAt.IsZero() && now.Sub(g.sweptAt) > maxSweepPeriod
+	g.sweptAt = now
 	for c := range g.conns {
+		if frozen {
+			c.restart(now)
+			continue
+		}
 		timeouts := clients
 		if c.listener.kind != Clients {
 			timeouts = internalTimeouts
@@ -315,6 +344,20 @@
 	// Guarded by guard.mu.
 	open      int
 	byAddress map[string]int
+	// refusedUntil is the time until which new connections, of refusedAddress or if it is
+	// empty of all addresses, are refused without looking for one to close.
+	refusedUntil   time.Time
+	refusedAddress string
+	refusedReason  Reason
+}
+
+// refusePause is the time after a refusal in which no connection is looked for that may
+// be closed. The search takes time in proportion to the number of connections, and a
+// crowd that reconnects would cause one with each attempt.
+const refusePause = 50 * time.Millisecond
+
+func (l *listener) refuseForNow(now time.Time, address string, r Reason) {
+	l.refusedUntil, l.refusedAddress, l.refusedReason = now.Add(refusePause), address, r
 }
 
 // Listener returns a listener that accepts at most max connections at the same time.
--- a/internal/sidecar/peerserver.go
+++ b/internal/sidecar/peerserver.go
@@ -19,8 +19,8 @@
 	// maxPeerCalls bounds the calls in progress on one connection of a peer. A host has a
 	// long poll, an exchange and a few notices and reports in progress.
 	maxPeerCalls = 8
-	// peerCallCharge is charged for a call in progress. A complete reply of a deployment
-	// of 90 hosts takes about 60 KB.
+	// peerCallCharge is charged for a call in progress. The rows and records of 90 hosts,
+	// which a complete reply holds, take about 24 KB encoded, and more in memory.
 	peerCallCharge = 64 << 10
 	// maxPeerRequestBytes bounds a message of a call. Digests, records and reports take
 	// a few KB.
@@ -93,12 +93,12 @@
 
 // ReadRequestBody implements rpc.ServerCodec.
 func (c *peerCodec) ReadRequestBody(body any) error {
-	err := c.decoder.Decode(body)
-	if err == nil && !c.conn.Charge(peerCallCharge) {
+	c.active.Add(1)
+	if !c.conn.Charge(peerCallCharge) {
 		_ = c.conn.Close()
-		err = ErrPeer.New("too much memory is held by connections")
+		return ErrPeer.New("too much memory is held by connections")
 	}
-	c.active.Add(1)
+	err := c.decoder.Decode(body)
 	c.conn.RequestRead()
 	return err
 }
@@ -108,7 +108,7 @@
 	defer func() {
 		c.conn.Discharge(peerCallCharge)
 		if c.active.Add(-1) == 0 {
-			c.conn.RequestEnded()
+			c.conn.CallsEnded()
 		}
 		<-c.calls
 	}()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -109,7 +109,7 @@
 	}
 	n.quotaWrites = make(chan quota.RowWrite, 1)
 	n.startTime = mesh.Time(n.started.UnixNano())
-	n.limits = s.limits()
+	n.limits = s.limits(kernelDescriptors())
 	n.guard = n.newGuard()
 	n.bodyMemory = membudget.New(s.BodyMemoryBytes())
 	n.bodyMemory.AllowLarge(s.LargeBodyBytes())
