Decide by the means until a route has samples

Before its route had enough samples a request counted as one of mean work, which already changed the gate's margins and order. Now it counts as unknown and everything is decided as without predicted work.

--- a/internal/admission/instance.go
+++ b/internal/admission/instance.go
@@ -70,8 +70,8 @@
 	lostCalls       []lostCall
 	meanServiceTime time.Duration // moving average of service times
 	deviation       time.Duration // moving average of the absolute deviation from the mean
-	// relativeDeviation is the moving average of the absolute deviation of calls with
-	// predicted work, as a share of their expected service time.
+	// relativeDeviation is the moving average of the absolute deviation from the expected
+	// service time, as a share of it.
 	relativeDeviation float64
 	// serviceTimeByRoute holds the moving averages of service times of each route.
 	serviceTimeByRoute map[mesh.Route]time.Duration
@@ -226,9 +226,7 @@
 
 // recordServiceTime adds the duration of a finished call to the moving averages.
 func (i *instance) recordServiceTime(c Call, d time.Duration) {
-	if c.Work > 0 {
-		i.recordRelativeDeviation(c, d)
-	}
+	i.recordRelativeDeviation(c, d)
 	if c.Route != "" {
 		typical := d
 		if c.Work > 0 {
--- a/internal/admission/work_test.go
+++ b/internal/admission/work_test.go
@@ -68,7 +68,7 @@
 	is.True(g.calls[6] != nil)
 	is.True(g.calls[5] == nil)
 	is.True(g.victim(start, []*call{{Call: Call{Work: 1}}}, g.calls[6]) < 0) // has no tenant
-	for range 40 { // what is offered but not served no longer counts for shedding
+	for range 40 {                                                           // what is offered but not served no longer counts for shedding
 		g.shares.add(start, "large", 100*ms, 0)
 		g.shares.add(start, "small", 100*ms, 100*ms)
 	}
--- a/internal/proxy/work.go
+++ b/internal/proxy/work.go
@@ -8,7 +8,7 @@
 )
 
 // predictWork returns the predicted work of a request as a multiple of the mean of its
-// route, zero if work isn't predicted.
+// route, zero if it isn't predicted.
 func (n *Node) predictWork(now mesh.Time, r workcost.Request) float64 {
 	if n.work == nil {
 		return 0
@@ -25,9 +25,9 @@
 }
 
 // LocalStartsIn returns the time after which a request that arrives now is expected to
-// start at the instance on this host. It reports false if work isn't predicted.
+// start at the instance on this host. It reports false while no work is predicted.
 func (n *Node) LocalStartsIn(now mesh.Time) (time.Duration, bool) {
-	if n.work == nil {
+	if n.work == nil || !n.work.Ready() {
 		return 0, false
 	}
 	return n.gate.StartsIn(now, n.local.id), true
@@ -40,8 +40,11 @@
 }
 
 // LocalBacklog returns the predicted remaining time of all requests at the instance on
-// this host, divided by its slots.
-func (n *Node) LocalBacklog(now mesh.Time) time.Duration { return n.gate.Backlog(now, n.local.id) }
+// this host, divided by its slots, and the time after which a request that arrives now is
+// expected to start. It reports false if Settings.WorkAware isn't set.
+func (n *Node) LocalBacklog(now mesh.Time) (backlog, startsIn time.Duration, ok bool) {
+	return n.gate.Backlog(now, n.local.id), n.gate.StartsIn(now, n.local.id), n.work != nil
+}
 
 // ExplainedWork returns the share of the variance of a route's work that is explained by
 // each feature of requests alone, in the order of workcost.Feature, and by all together.
--- a/internal/sidecar/workmetrics.go
+++ b/internal/sidecar/workmetrics.go
@@ -59,12 +59,12 @@
 	}
 	_, err := meter.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		n.inspect(func(r *proxy.Node) {
-			wait, known := r.LocalStartsIn(n.now())
-			if !known {
+			remaining, wait, ok := r.LocalBacklog(n.now())
+			if !ok {
 				return
 			}
 			o.ObserveFloat64(startsIn, wait.Seconds())
-			o.ObserveFloat64(backlog, r.LocalBacklog(n.now()).Seconds())
+			o.ObserveFloat64(backlog, remaining.Seconds())
 			if r.Config() == nil {
 				return
 			}
--- a/internal/workcost/estimator.go
+++ b/internal/workcost/estimator.go
@@ -22,8 +22,7 @@
 const (
 	// errorWeight is the weight of a new sample in the averages of a candidate's error.
 	errorWeight = 1.0 / 256
-	// minSamples is the number of samples of a route before a candidate other than the
-	// mean is used.
+	// minSamples is the number of samples of a route before its work is predicted.
 	minSamples = 24
 	// minGain is the least share of the variance that a candidate must explain to be
 	// used. Without it, a load without visible differences is predicted 1% worse than
@@ -71,16 +70,23 @@
 // Estimator is not safe for concurrent use.
 type Estimator struct {
 	routes map[mesh.Route]*route
+	ready  bool
 }
 
-// New returns an Estimator without samples, which predicts 1 for every request.
+// New returns an Estimator without samples.
 func New() *Estimator { return &Estimator{routes: make(map[mesh.Route]*route)} }
 
-// Factor predicts the work of a request as a multiple of the mean of its route. It is 1
-// until the route has enough samples.
+// Ready reports whether any route has had enough samples for a prediction.
+func (e *Estimator) Ready() bool { return e.ready }
+
+// Factor predicts the work of a request as a multiple of the mean of its route. It is
+// zero until the route has enough samples, and 1 if no feature explains the work.
 func (e *Estimator) Factor(now mesh.Time, r Request) float64 {
 	known := e.routes[r.Route]
-	if known == nil || known.chosen == meanOnly {
+	if known == nil || known.log.samples < minSamples {
+		return 0
+	}
+	if known.chosen == meanOnly {
 		return 1
 	}
 	k := r.keys()
@@ -137,6 +143,7 @@
 		r.learn(now, &k, log-r.log.value)
 	}
 	r.log.add(log, meanWeight)
+	e.ready = e.ready || r.log.samples >= minSamples
 }
 
 // makeRoom removes the route without samples for the longest time if there are too many.
