--- a/internal/admission/work.go
+++ b/internal/admission/work.go
@@ -77,7 +77,8 @@
 // startDelay returns the expected time until a call can start that is queued behind the
 // given calls.
 func (i *instance) startDelay(now mesh.Time, ahead []*call) time.Duration {
-	ends := make([]time.Duration, 0, max(i.slots, len(i.running)))
+	var buffer [32]time.Duration // keeps the usual number of slots off the heap
+	ends := buffer[:0]
 	for _, rec := range i.running {
 		ends = append(ends, i.remaining(now, rec))
 	}
