Let shares follow a demand that moves to another host

Change: the average covers no time before the demand began, and a tenant without requests for some time reports no more than the demand that would have caused none in this time with a probability of 5%. A tenant that was denied a share while it reports demand waits for the next report and doesn't hasten it. Ruled out: a shorter average, whose noise moves the shares of small tenants. TestShareFollowsTheDemand fails before the change.

--- a/internal/quota/failure_test.go
+++ b/internal/quota/failure_test.go
@@ -143,3 +143,17 @@
 	is.Equal(n.HandleReport(simStart, &Report{Host: "b", Sequence: 4, Term: 2}, &out), Grant{})
 	is.Equal(n.HeldTerm(), uint64(0)) // superseded
 }
+
+// Guards against a share that stays with a host whose requests have moved to another one.
+func TestShareFollowsTheDemand(t *testing.T) {
+	is := is.New(t)
+	late := 0
+	for seed := range uint64(10) {
+		s := newSimulation(seed, 89, []catalog.Tenant{{Name: "one", Quota: catalog.Quota{RatePerSecond: 10, Burst: 10}}})
+		on := map[mesh.Tenant]int{"one": 1}
+		s.serve(20*time.Second, 10, on)
+		s.serve(8*time.Second, 40, on)
+		late += s.serve(8*time.Second, 40, on)["one"].refused
+	}
+	is.Equal(late, 0) // 8 s after the move
+}
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -14,8 +14,14 @@
 const (
 	// demandTime is the time constant of the moving average of a tenant's demand.
 	demandTime = 8 * time.Second
+	// minDemandTime is the least time that the average covers at the begin of a demand.
+	minDemandTime = time.Second
+	// idleRequests bounds the demand of a tenant without requests for some time to this
+	// number divided by that time: a larger demand would cause a request in this time with
+	// a probability of 95%.
+	idleRequests = 3
 	// minDemand is the demand in thousandths of a request per second below which a tenant
-	// is left out of reports. One request decays to it within about 25 s.
+	// is left out of reports. One request decays to it within about 26 s.
 	minDemand = 5
 	// demandChange is the relative change of a tenant's demand that hastens the next
 	// report. Changes of less than minDemandChange thousandths of a request per second
@@ -79,11 +85,14 @@
 	shared     bucket
 	floor      bucket
 
-	demand   float64 // requests per second at demandAt
+	demand   float64 // moving average of requests per second at demandAt
 	demandAt mesh.Time
-	reported uint32 // demand in the latest report
-	// deniedAt is the time of the latest answer that gave no share, zero if none has.
-	deniedAt mesh.Time
+	// activeSince is the time of the first request of the current demand, zero if there is
+	// none, and requestAt that of the latest.
+	activeSince, requestAt mesh.Time
+	reported               uint32 // demand in the latest report
+	// denied is set if the latest answer gave no share although demand was reported.
+	denied bool
 }
 
 // Limiter admits the requests of limited tenants at one host. It is not safe for
@@ -181,6 +190,10 @@
 	t := l.tenant(now, name, limit)
 	t.decayDemand(now)
 	t.demand += 1 / demandTime.Seconds()
+	t.requestAt = now
+	if t.activeSince == 0 {
+		t.activeSince = now
+	}
 	return l.decide(now, t)
 }
 
@@ -199,9 +212,7 @@
 	if t.floor.take() {
 		return Decision{Verdict: Admitted, Floor: true}
 	}
-	if t.deniedAt == 0 || now.Sub(t.deniedAt) >= shortInterval {
-		l.urgent = true
-	}
+	l.urgent = l.urgent || !t.denied
 	return Decision{Verdict: Pending}
 }
 
@@ -246,11 +257,21 @@
 }
 
 // demandMillis returns the demand in thousandths of a request per second, zero if it is
-// below minDemand.
+// below minDemand. The average covers no time before the demand began, and it falls
+// faster if the requests cease, so that a share follows a tenant that turns up elsewhere.
 func (t *tenantBucket) demandMillis(now mesh.Time) uint32 {
+	if t.activeSince == 0 {
+		return 0
+	}
 	t.decayDemand(now)
-	v := min(t.demand*1000, math.MaxUint32/2)
+	covered := max(now.Sub(t.activeSince), minDemandTime).Seconds()
+	v := t.demand / (1 - math.Exp(-covered/demandTime.Seconds()))
+	if idle := now.Sub(t.requestAt).Seconds(); idle > 0 {
+		v = min(v, idleRequests/idle)
+	}
+	v = min(v*1000, math.MaxUint32/2)
 	if v < minDemand {
+		t.demand, t.activeSince = 0, 0
 		return 0
 	}
 	return uint32(v)
@@ -316,6 +337,7 @@
 		l.advance(now, t)
 		t.reported = t.demandMillis(now)
 		if t.reported == 0 && t.share == 0 {
+			t.denied = false
 			continue
 		}
 		e := Entry{Tenant: t.id, Demand: t.reported, Share: t.share, Bonus: t.bonus}
@@ -355,14 +377,14 @@
 func (l *Limiter) applyShare(now mesh.Time, t *tenantBucket, s TenantGrant, validUntil mesh.Time) {
 	l.advance(now, t)
 	if s.Share == 0 || s.Share > Whole || s.Bonus > Whole {
-		t.deniedAt = now
+		t.denied = t.reported > 0
 		if t.share > 0 {
 			l.dropShare(now, t)
 		}
 		return
 	}
 	started := t.share == 0
-	t.share, t.bonus, t.validUntil, t.deniedAt = s.Share, s.Bonus, validUntil, 0
+	t.share, t.bonus, t.validUntil, t.denied = s.Share, s.Bonus, validUntil, false
 	if started {
 		t.shared.restart(now, t.bonus.of(l.bounds.bonus(t.limit)))
 	}
