Leave the bonus of a quota to hosts that are still to come

Cause: when many hosts began to use a limit within a second, the first ones grew their bonus before the last ones asked, and a released bonus cools down for up to two windows. Change: a bonus grows only 6 s after the demand of the latest host began. Ruled out: a bonus fixed by the number of known hosts, which leaves a tenant on one to three hosts little more than one token.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -21,6 +21,9 @@
 	// typical demand of 1/1.6 of the limit.
 	baseDemand      = 1000
 	maxBaseFraction = 0.3
+	// bonusGrowthDelay is the time since the demand of the latest host began before which
+	// no bonus grows, so that it is left for further hosts.
+	bonusGrowthDelay = 6 * time.Second
 	// firstBonusTokens bounds the bonus of a host that is new to a tenant. Its bucket
 	// starts with these tokens, while a later rise of its bonus adds none.
 	firstBonusTokens = 2
@@ -51,7 +54,8 @@
 	active       int
 	share, bonus Parts // reserved
 	// shortUntil is the time until which some host counts as short of its target.
-	shortUntil mesh.Time
+	shortUntil  mesh.Time
+	activatedAt mesh.Time // time at which the latest host became active
 	// cooling is the bonus released in the current epoch and in the one before. An epoch
 	// lasts one window. A bonus that was released may have been spent in the same window
 	// in which another host's bucket starts with it, so it is not granted again before
@@ -282,6 +286,9 @@
 	surplus := t.active >= maxHolders && uint64(r.demand)*uint64(t.active) < t.demand
 	if t.active < maxHolders || active && !surplus {
 		t.activate(r)
+		if !active {
+			t.activatedAt = now
+		}
 	}
 }
 
@@ -330,7 +337,11 @@
 		share = target
 	}
 	if r.share > 0 {
-		bonus = min(max(oneToken, Whole/Parts(t.active+1)), r.bonus+t.freeBonus())
+		bonus = max(oneToken, Whole/Parts(t.active+1))
+		if now.Sub(t.activatedAt) < bonusGrowthDelay {
+			bonus = min(bonus, max(oneToken, r.bonus))
+		}
+		bonus = min(bonus, r.bonus+t.freeBonus())
 	}
 	g = TenantGrant{Tenant: id, Share: share, Bonus: bonus}
 	short := target > share && target-share > slightly(target)
