--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,8 +18,6 @@
 	quotaRowKey = "quota/coordinator"
 	methodQuota = peerService + ".Quota"
 	methodAdmit = peerService + ".Admit"
-	// maxQuotaTerm bounds the terms of stored rows, so that the next term doesn't overflow.
-	maxQuotaTerm = math.MaxInt64
 )
 
 // Quota answers the report of a host. The answer is empty if this host isn't the
@@ -130,7 +127,7 @@
 		return
 	}
 	var row quota.Row
-	if err := json.Unmarshal(c.Value, &row); err != nil || row.Term > maxQuotaTerm || row.Beat > maxQuotaTerm {
+	if err := json.Unmarshal(c.Value, &row); err != nil || row.Term > quota.MaxTerm || row.Beat > quota.MaxTerm {
 		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "error", errorText(err))
 		row = quota.Row{}
 	}
