--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -319,7 +319,7 @@
 		return TenantGrant{Tenant: id}, r.share > 0 || r.demand > 0
 	}
 	target := t.target(r)
-	share, bonus := r.share, r.bonus
+	share := r.share
 	switch free := t.freeShare(); {
 	case r.share == 0:
 		share = min(target, free/c.firstShares(limit))
@@ -338,7 +338,7 @@
 	case now < t.shortUntil || r.share-target > slightly(r.share):
 		share = target
 	}
-	bonus = c.bonusOf(t, r, limit)
+	bonus := c.bonusOf(t, r, limit)
 	g = TenantGrant{Tenant: id, Share: share, Bonus: bonus}
 	short := target > share && target-share > slightly(target)
 	if short {
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -292,6 +292,7 @@
 	go n.notifyReaders(ctx)
 	go n.writeRollouts(ctx)
 	go n.writeQuotaRows(ctx)
+	go n.writeEvacuationStatus(ctx)
 	go n.gossip(ctx)
 }
 
