Replace a coordinator that is cut off from the other hosts

Cause: a coordinator that reaches the store but not the other hosts renewed its lease for the length of the cut, and the others had no shares from 12 s on. Change: the coordinator stops renewing once fewer than half of the known hosts have reported in 5 s, unless it never heard of half of them: the others may have stopped then. Candidates that don't reach half of the known hosts wait 10 s longer. Ruled out: half of the hosts as a condition of every term, which leaves the survivors of a failure of most hosts without shares until the others are forgotten after 60 s.

--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -112,7 +112,7 @@
 // tickQuota renews the coordinator's row, sends reports and decides on waiting requests
 // when due.
 func (n *Node) tickQuota(s *step) {
-	n.quota.Tick(s.now, &quota.View{Hosts: len(n.members), Known: n.knownHosts, Candidate: n.coordinatorRank}, &n.quotaEffects)
+	n.quota.Tick(s.now, &quota.View{Hosts: len(n.members), Known: n.knownHosts, Candidate: n.coordinatorRank, Quorum: n.reachesHalf}, &n.quotaEffects)
 	n.flushQuota(s)
 	n.resumeWaitingCalls(s)
 }
@@ -134,6 +134,17 @@
 	return rank, rank >= 0
 }
 
+// reachesHalf reports whether at least half of the known hosts are reachable.
+func (n *Node) reachesHalf() bool {
+	reachable := 0
+	for _, m := range n.members {
+		if m.usable() {
+			reachable++
+		}
+	}
+	return 2*reachable >= len(n.members)
+}
+
 // flushQuota passes the effects of the quotas on to the runtime.
 func (n *Node) flushQuota(s *step) {
 	for _, r := range n.quotaEffects.Reports {
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -11,6 +11,9 @@
 	// minChange is the relative difference from its target up to which a host's share is
 	// left as it is, so that noise in the demand moves no shares.
 	minChange = 0.125
+	// quorumTime is the time, in addition to the interval of reports, in which at least
+	// half of the known hosts must report.
+	quorumTime = 2 * time.Second
 	// shortTime is the time after a grant that falls short of its target by more than
 	// minChange for which all other hosts' shares are lowered to their targets. It
 	// exceeds the longest time between two reports of a host.
@@ -78,6 +81,9 @@
 	hosts   map[mesh.HostID]*hostState
 	tenants map[ID]*tenantState
 	known   int // known hosts
+	// quorumLost is set if at least half of the known hosts have reported in a time of
+	// quorumTime before, and fewer in the latest.
+	quorumLost, quorumSeen bool
 }
 
 // NewCoordinator returns a coordinator without a term.
@@ -99,6 +105,7 @@
 // first term of a deployment has no predecessor whose shares it has to wait for.
 func (c *Coordinator) BeginTerm(now mesh.Time, term uint64, stopsAt mesh.Time) {
 	c.term, c.beganAt, c.settled, c.stopsAt = term, now, term == 1, stopsAt
+	c.quorumLost, c.quorumSeen = false, false
 	c.hosts, c.tenants = make(map[mesh.HostID]*hostState), make(map[ID]*tenantState)
 }
 
@@ -128,7 +135,11 @@
 		return
 	}
 	c.known = max(len(known), 1)
+	heard, since := 0, now.Add(-scaled(reportInterval, c.known)-quorumTime)
 	for host, h := range c.hosts {
+		if h.seenAt >= since {
+			heard++
+		}
 		if now.Sub(h.seenAt) > reservationTime {
 			c.forget(now, h)
 			delete(c.hosts, host)
@@ -139,6 +150,9 @@
 			delete(c.tenants, id)
 		}
 	}
+	quorum := 2*heard >= c.known
+	c.quorumSeen = c.quorumSeen || quorum
+	c.quorumLost = c.quorumSeen && !quorum
 	if c.settled {
 		return
 	}
@@ -146,6 +160,11 @@
 	c.settled = age >= reservationTime || age >= c.bounds.Window && c.allReported(known)
 }
 
+// QuorumLost reports whether more than half of the known hosts have ceased to report. A
+// coordinator that is cut off from them leaves its lease to another one. One that never
+// heard of half of the hosts doesn't, because the others may have stopped.
+func (c *Coordinator) QuorumLost() bool { return c.quorumLost }
+
 func (c *Coordinator) allReported(known []mesh.HostID) bool {
 	for _, host := range known {
 		if c.hosts[host] == nil {
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -299,18 +299,19 @@
 	case l.urgent || l.soon || !l.answered || l.demandChanged(now):
 		interval = shortInterval
 	}
-	due := l.sentAt.Add(l.scaled(interval))
+	due := l.sentAt.Add(scaled(interval, l.hosts))
 	if l.notAfter > 0 {
 		due = min(due, max(l.notAfter, l.sentAt.Add(urgentInterval)))
 	}
 	return due
 }
 
-func (l *Limiter) scaled(interval time.Duration) time.Duration {
-	if l.hosts <= fullRateHosts {
+// scaled returns the interval of reports with the given number of hosts.
+func scaled(interval time.Duration, hosts int) time.Duration {
+	if hosts <= fullRateHosts {
 		return interval
 	}
-	return min(interval*time.Duration(l.hosts)/fullRateHosts, maxReportInterval)
+	return min(interval*time.Duration(hosts)/fullRateHosts, maxReportInterval)
 }
 
 // demandChanged reports whether the demand of a tenant differs from the last report.
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -12,6 +12,10 @@
 // coordinatorTickInterval is the period of the coordinator's own work.
 const coordinatorTickInterval = 200 * time.Millisecond
 
+// cutOffRanks is added to the rank of a candidate that doesn't reach half of the known
+// hosts, so that one that does takes over first.
+const cutOffRanks = 50
+
 // Node combines the limiter of a host with the lease of the coordinator and, while this
 // host holds it, the coordinator. It does nothing while no tenant has a limit. It is not
 // safe for concurrent use.
@@ -52,6 +56,8 @@
 	// Candidate returns the position of this host among the hosts that may become the
 	// coordinator. ok is false if it may not, because it doesn't read the store.
 	Candidate func() (rank int, ok bool)
+	// Quorum reports whether this host reaches at least half of the known hosts.
+	Quorum func() bool
 }
 
 // Effects are the effects of a step.
@@ -159,7 +165,7 @@
 	}
 	n.limiter.SeeTerm(highest)
 	// The hosts report to a new coordinator one after the other.
-	spread := n.limiter.scaled(shortInterval)
+	spread := scaled(shortInterval, n.limiter.hosts)
 	n.limiter.Expedite(now.Add(time.Duration(xxhash.Sum64String(string(n.host)) % uint64(spread))))
 }
 
@@ -208,7 +214,7 @@
 }
 
 func (n *Node) tickLease(now mesh.Time, v *View, out *Effects) {
-	if w, due := n.lease.Renewal(now); due {
+	if w, due := n.lease.Renewal(now); due && !n.coordinator.QuorumLost() {
 		out.Writes = append(out.Writes, w)
 		return
 	}
@@ -216,6 +222,9 @@
 		return
 	}
 	rank, ok := v.Candidate()
+	if !v.Quorum() {
+		rank += cutOffRanks
+	}
 	if !ok || now.Sub(n.enabledAt) < time.Duration(rank)*rankDelay {
 		return
 	}
