Give each failure domain a base of the quotas, and serve waiting requests in order

Change: 0.6 of each limit is divided equally among the failure domains of the settings. The tenant's accountant holds the base of its domain without a grant as long as it reaches most hosts of the domain; another one takes it over after 3 s. Waiting requests reserve at most the tokens of 250 ms. Ruled out: shorter shares, which end within the cut of a domain.

--- a/internal/proxy/accountant.go
+++ b/internal/proxy/accountant.go
@@ -82,9 +82,50 @@
 	returned map[mesh.Tenant]uint16
 }
 
+const (
+	// baseDelay is the time for which the accountants of the domain must be unchanged before
+	// a host holds the base of a tenant in place of another one. The other one stops as soon
+	// as it doesn't reach most of the domain, which it notices within a second.
+	baseDelay = 3 * time.Second
+	// baseInterval is the period at which a host checks whether it holds bases.
+	baseInterval = 200 * time.Millisecond
+)
+
+// updateBases decides for which tenants this host holds the base of its failure domain: it
+// is their accountant and reaches most hosts of the domain, and it is the first by the hash
+// of all hosts that could be, or the accountants have been unchanged for baseDelay.
+func (n *Node) updateBases(s *step) {
+	if s.now < n.nextBaseCheck || !n.quota.Enabled() {
+		return
+	}
+	n.nextBaseCheck = s.now.Add(baseInterval)
+	known, reached, largest := 0, 0, 0
+	for _, m := range n.members {
+		if m.Domain != n.settings.Domain {
+			continue
+		}
+		known++
+		if m.usable() {
+			reached++
+		}
+		largest = max(largest, m.LinkMbps)
+	}
+	var possible []mesh.HostID
+	for host, m := range n.members {
+		if m.Domain == n.settings.Domain && m.LinkMbps == largest {
+			possible = append(possible, host)
+		}
+	}
+	most := 2*reached > known && (known > 1 || n.store.Loaded) && !n.stopping
+	unchanged := s.now.Sub(n.accountantsChangedAt) >= baseDelay
+	n.quota.SetBases(s.now, func(tenant mesh.Tenant) bool {
+		return most && n.accountantOf(tenant) == n.settings.Host && (unchanged || firstByHash(possible, tenant) == n.settings.Host)
+	})
+}
+
 // updateAccountants chooses the accountants of this failure domain: its reachable hosts with
 // the largest links, which serve the questions of all others.
-func (n *Node) updateAccountants() {
+func (n *Node) updateAccountants(now mesh.Time) {
 	domains := make(map[mesh.FailureDomain]struct{})
 	for _, m := range n.members {
 		domains[m.Domain] = struct{}{}
@@ -94,7 +135,9 @@
 		hosts := n.accountantsIn(domain)
 		n.holderCount += len(hosts)
 		if domain == n.settings.Domain {
-			n.accountantHosts = hosts
+			if !slices.Equal(hosts, n.accountantHosts) {
+				n.accountantHosts, n.accountantsChangedAt = hosts, now
+			}
 		}
 	}
 	for host := range n.accountants {
@@ -120,7 +163,12 @@
 	if len(n.accountantHosts) == 0 {
 		return n.settings.Host
 	}
-	return slices.MaxFunc(n.accountantHosts, func(a, b mesh.HostID) int {
+	return firstByHash(n.accountantHosts, tenant)
+}
+
+// firstByHash returns the first of the hosts in the order of rendezvous hashing.
+func firstByHash(hosts []mesh.HostID, tenant mesh.Tenant) mesh.HostID {
+	return slices.MaxFunc(hosts, func(a, b mesh.HostID) int {
 		return cmp.Compare(xxhash.Sum64String(string(tenant)+"\x00"+string(a)), xxhash.Sum64String(string(tenant)+"\x00"+string(b)))
 	})
 }
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -258,7 +258,7 @@
 	n.firstAnnounced = seen
 	n.table.SetInstances(list)
 	n.updateShares()
-	n.updateAccountants()
+	n.updateAccountants(s.now)
 }
 
 // Alone reports whether no other host is known.
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -74,14 +74,16 @@
 	quota        *quota.Node
 	quotaEffects quota.Effects // of the current step; reused
 	// waitingCalls are requests that wait for a share of their tenant's quota, oldest first.
-	waitingCalls    []waitingCall
-	accountantHosts []mesh.HostID // of this failure domain
-	holderCount     int           // accountants of all failure domains
-	accountants     map[mesh.HostID]*accountant
-	calls           map[mesh.CallID]*call
-	gateCalls       map[mesh.CallID]*gateCall
-	gateEffects     []admission.Effect
-	warmup          *warmup.Limiter // of the instance on this host
+	waitingCalls         []waitingCall
+	accountantHosts      []mesh.HostID // of this failure domain
+	accountantsChangedAt mesh.Time
+	holderCount          int // accountants of all failure domains
+	nextBaseCheck        mesh.Time
+	accountants          map[mesh.HostID]*accountant
+	calls                map[mesh.CallID]*call
+	gateCalls            map[mesh.CallID]*gateCall
+	gateEffects          []admission.Effect
+	warmup               *warmup.Limiter // of the instance on this host
 	// loggedWarmUp is the state of the instance in the newest log line about it.
 	loggedWarmUp warmup.State
 	evacuations  map[mesh.FailureDomain]evacuation
--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -176,6 +176,7 @@
 // tickQuota renews the coordinator's row, sends reports and decides on waiting requests
 // when due.
 func (n *Node) tickQuota(s *step) {
+	n.updateBases(s)
 	n.quota.Tick(s.now, &quota.View{
 		Hosts: len(n.members), Known: n.possibleHolders, Holders: n.holderCount, Candidate: n.coordinatorRank, Quorum: n.reachesHalf,
 	}, &n.quotaEffects)
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -198,7 +198,7 @@
 // reserve changes a reservation. used is the bonus that the host may have used; what it
 // exceeds the new bonus by cools down.
 func (c *Coordinator) reserve(now mesh.Time, t *tenantState, r *reservation, share, bonus, used Parts) {
-	t.advancePool(now, c.limits[t.id])
+	t.advancePool(now, c.limits[t.id], c.bounds.granted())
 	if used > bonus {
 		t.cool(now, c.bounds.Window, used-bonus)
 	}
@@ -291,7 +291,7 @@
 	if t == nil {
 		t = &tenantState{id: e.Tenant, since: now, epoch: int64(now) / int64(c.bounds.Window), pool: bucket{at: c.beganAt}}
 		if c.term == 1 { // no host has used any tokens yet
-			t.pool.level = c.limits[e.Tenant].Burst
+			t.pool.level = c.bounds.granted() * c.limits[e.Tenant].Burst
 		} else if now.Sub(c.beganAt) < c.bounds.Window {
 			t.cooling[0] = Whole // the hosts may have spent the bonus of an earlier term
 		}
@@ -366,7 +366,7 @@
 	}
 	changes = short || share < r.share
 	if share > r.share {
-		g.Tokens = t.takeTokens(now, share-r.share, limit)
+		g.Tokens = t.takeTokens(now, share-r.share, limit, c.bounds.granted())
 	}
 	t.share += max(share, r.share) - r.share
 	t.bonus += max(bonus, r.bonus) - r.bonus
@@ -375,15 +375,15 @@
 }
 
 // advancePool refills the pool until now. It precedes each change of the reserved shares.
-func (t *tenantState) advancePool(now mesh.Time, limit catalog.Quota) {
+func (t *tenantState) advancePool(now mesh.Time, limit catalog.Quota, granted float64) {
 	free := t.freeShare()
-	t.pool.advance(now, free.of(limit.RatePerSecond), free.of(limit.Burst))
+	t.pool.advance(now, free.of(granted*limit.RatePerSecond), free.of(granted*limit.Burst))
 }
 
 // takeTokens removes the tokens of a part of the limit from the pool and returns them, in
 // thousandths.
-func (t *tenantState) takeTokens(now mesh.Time, part Parts, limit catalog.Quota) uint32 {
-	t.advancePool(now, limit)
+func (t *tenantState) takeTokens(now mesh.Time, part Parts, limit catalog.Quota, granted float64) uint32 {
+	t.advancePool(now, limit, granted)
 	thousandths := math.Floor(t.pool.level * 1000 * float64(part) / float64(max(t.freeShare(), 1)))
 	t.pool.level = max(t.pool.level-thousandths/1000, 0)
 	return uint32(min(thousandths, math.MaxUint32))
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -84,6 +84,7 @@
 	configured catalog.Quota
 	limit      catalog.Quota // enforced
 	share      Parts
+	base       float64 // fraction of the limit that the host holds without a grant
 	bonus      Parts
 	validUntil mesh.Time // of the share; zero if the host has none
 	shared     bucket
@@ -166,9 +167,12 @@
 	return t
 }
 
+// fraction returns the fraction of the limit that the host holds.
+func (l *Limiter) fraction(t *tenantBucket) float64 { return t.share.of(l.bounds.granted()) + t.base }
+
 // capacity returns the capacity of the bucket of the share.
 func (l *Limiter) capacity(t *tenantBucket) float64 {
-	return t.share.of(t.limit.Burst) + t.bonus.of(l.bounds.bonus(t.limit))
+	return l.fraction(t)*t.limit.Burst + t.bonus.of(l.bounds.bonus(t.limit))
 }
 
 // floorPart returns this host's part of the floor in a window.
@@ -179,11 +183,14 @@
 // advance refills the buckets until now and ends a share that has expired.
 func (l *Limiter) advance(now mesh.Time, t *tenantBucket) {
 	if t.share > 0 {
-		t.shared.advance(min(now, t.validUntil), t.share.of(t.limit.RatePerSecond), l.capacity(t))
+		t.shared.advance(min(now, t.validUntil), l.fraction(t)*t.limit.RatePerSecond, l.capacity(t))
 		if now >= t.validUntil {
 			l.dropShare(now, t)
 		}
 	}
+	if t.base > 0 {
+		t.shared.advance(now, l.fraction(t)*t.limit.RatePerSecond, l.capacity(t))
+	}
 	half := l.floorPart(t) / 2
 	t.floor.advance(now, half/l.bounds.Window.Seconds(), half)
 	half = returnFraction * l.bounds.slack(t.limit) / 2
@@ -192,9 +199,32 @@
 
 func (l *Limiter) dropShare(now mesh.Time, t *tenantBucket) {
 	t.share, t.bonus, t.validUntil = 0, 0, 0
+	if t.base > 0 {
+		t.shared.clamp(l.capacity(t))
+		return
+	}
 	t.shared.restart(now, 0)
 }
 
+// SetBases sets for each tenant whether the host holds the base of its failure domain.
+func (l *Limiter) SetBases(now mesh.Time, holds func(mesh.Tenant) bool) {
+	for name, t := range l.tenants {
+		base := 0.0
+		if holds(name) {
+			base = l.bounds.base()
+		}
+		if base == t.base {
+			continue
+		}
+		l.advance(now, t)
+		if t.base == 0 && t.share == 0 {
+			t.shared.restart(now, 0)
+		}
+		t.base = base
+		t.shared.clamp(l.capacity(t))
+	}
+}
+
 // Admit decides on a request of a tenant with a limit.
 func (l *Limiter) Admit(now mesh.Time, name mesh.Tenant, limit catalog.Quota) Decision {
 	t := l.tenant(now, name, limit)
@@ -213,7 +243,7 @@
 }
 
 func (l *Limiter) decide(now mesh.Time, t *tenantBucket, again bool) Decision {
-	if t.share > 0 {
+	if l.fraction(t) > 0 {
 		return l.decideByShare(now, t, again)
 	}
 	if t.floor.take() {
@@ -230,8 +260,10 @@
 // that wait. Otherwise it returns the time until a token is expected. A request that finds
 // it short enough waits too.
 func (l *Limiter) decideByShare(now mesh.Time, t *tenantBucket, again bool) Decision {
-	// Requests that wait may be cancelled, so their number decays.
+	// Requests that wait may be cancelled, so their number decays. No more of them can be
+	// served than get a token within MaxWait.
 	t.queued *= math.Exp(-now.Sub(t.queuedAt).Seconds() / MaxWait.Seconds())
+	t.queued = min(t.queued, l.fraction(t)*t.limit.RatePerSecond*MaxWait.Seconds())
 	t.queuedAt = now
 	ahead := t.queued
 	if again {
@@ -243,7 +275,7 @@
 		}
 		return Decision{Verdict: Admitted}
 	}
-	d := Decision{Verdict: Refused, RetryAfter: t.timeFor(1 - t.shared.level + ahead)}
+	d := Decision{Verdict: Refused, RetryAfter: l.timeFor(t, 1-t.shared.level+ahead)}
 	if !again && d.RetryAfter <= MaxWait {
 		t.queued++
 	}
@@ -254,8 +286,8 @@
 const maxRetryAfter = 30 * time.Second
 
 // timeFor returns the time in which the bucket of the share gets the given number of tokens.
-func (t *tenantBucket) timeFor(tokens float64) time.Duration {
-	seconds := tokens / t.share.of(t.limit.RatePerSecond)
+func (l *Limiter) timeFor(t *tenantBucket, tokens float64) time.Duration {
+	seconds := tokens / (l.fraction(t) * t.limit.RatePerSecond)
 	return min(max(time.Duration(math.Ceil(seconds*1000))*time.Millisecond, time.Millisecond), maxRetryAfter)
 }
 
@@ -435,8 +467,11 @@
 	}
 	started := t.share == 0
 	t.share, t.bonus, t.validUntil, t.denied = s.Share, s.Bonus, validUntil, false
+	if started && t.base == 0 {
+		t.shared.restart(now, 0)
+	}
 	if started {
-		t.shared.restart(now, t.bonus.of(l.bounds.bonus(t.limit)))
+		t.shared.level += t.bonus.of(l.bounds.bonus(t.limit))
 	}
 	// A larger share raises the capacity. Its tokens come with the grant, so that a share
 	// that moves between hosts doesn't bring its burst twice.
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -108,6 +108,9 @@
 // tenant.
 func (n *Node) SetResponsible(f func(mesh.Tenant) bool) { n.responsible = f }
 
+// SetBases sets for each tenant whether this host holds the base of its failure domain.
+func (n *Node) SetBases(now mesh.Time, holds func(mesh.Tenant) bool) { n.limiter.SetBases(now, holds) }
+
 // Enabled reports whether some tenant has a limit.
 func (n *Node) Enabled() bool { return n.enabled }
 
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -44,6 +44,30 @@
 	Window    time.Duration
 	Overshoot float64
 	Slack     float64
+	// Domains is the number of failure domains. If it is zero, the whole limit is granted by
+	// the coordinator.
+	Domains int
+}
+
+// baseFraction is the fraction of a limit that is divided equally among the failure domains
+// for good. Each tenant's accountant holds the base of its domain without a grant, so that
+// tenants are served while there is no coordinator, as in a cut or after a restart of all.
+const baseFraction = 0.6
+
+// granted returns the fraction of a limit that the coordinator grants.
+func (b Bounds) granted() float64 {
+	if b.Domains == 0 {
+		return 1
+	}
+	return 1 - baseFraction
+}
+
+// base returns the fraction of a limit that one failure domain holds for good.
+func (b Bounds) base() float64 {
+	if b.Domains == 0 {
+		return 0
+	}
+	return baseFraction / float64(b.Domains)
 }
 
 // DefaultBounds apply where the settings state none.
