Add chicoryctl config check and the decoder of the platform's files

Change: platform.DecodeForCheck reads the store's JSON into the model, and cmd/chicoryctl passes it to the command, so that internal/ctl doesn't depend on platform/. Exit code 1 stands for errors, 8 for warnings only.

--- a/cmd/chicoryctl/main.go
+++ b/cmd/chicoryctl/main.go
@@ -8,6 +8,7 @@
 	"syscall"
 
 	"github.com/chicoryscale/chicoryscale/internal/ctl"
+	"github.com/chicoryscale/chicoryscale/platform"
 )
 
 func main() { os.Exit(run()) }
@@ -15,5 +16,5 @@
 func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return ctl.Execute(ctx, ctl.New())
+	return ctl.Execute(ctx, ctl.New(platform.DecodeForCheck))
 }
--- a/internal/configcheck/check.go
+++ b/internal/configcheck/check.go
@@ -1,6 +1,7 @@
 package configcheck
 
 import (
+	"crypto/sha256"
 	"strings"
 	"time"
 )
@@ -188,11 +189,11 @@
 // sharedKeys reports keys that appear more than once. Messages name them by position.
 func (k *checker) sharedKeys(tenants []Tenant) {
 	type holder struct{ tenant, position int }
-	first := make(map[[32]byte]holder)
+	first := make(map[[sha256.Size]byte]holder)
 	for i := range tenants {
 		t := &tenants[i]
 		for j, key := range t.Keys {
-			if key.Empty {
+			if key.Empty || key.Malformed {
 				continue
 			}
 			h, seen := first[key.Hash]
--- a/internal/configcheck/model.go
+++ b/internal/configcheck/model.go
@@ -113,9 +113,10 @@
 // Key is a key of a tenant. The model holds no keys in clear, so that none can reach the
 // output.
 type Key struct {
-	Hash  [sha256.Size]byte
-	Empty bool
-	At    Position
+	Hash      [sha256.Size]byte
+	Empty     bool
+	At        Position
+	Malformed bool // the decoder has reported that it is not a text
 }
 
 // NewKey returns the model of a key.
--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -19,7 +19,7 @@
 
 func (a *app) configCommand() *cobra.Command {
 	return newCommandGroup("config", "Validates, compares, applies and lists configurations",
-		a.validateCommand(), a.diffCommand(), a.applyCommand(), a.historyCommand())
+		a.validateCommand(), a.checkCommand(), a.diffCommand(), a.applyCommand(), a.historyCommand())
 }
 
 // validateResult is the output of `config validate`.
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -13,6 +13,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/chicoryscale/chicoryscale/internal/configcheck"
 	"github.com/chicoryscale/chicoryscale/internal/settings"
 )
 
@@ -33,11 +34,14 @@
 	check        bool
 	settings     *settings.Ctl
 	client       *nodeClient
+	// decode reads the configurations of the users' platform for `config check`.
+	decode configcheck.Decoder
 }
 
-// New returns the root command with all subcommands.
-func New() *cobra.Command {
-	a := &app{}
+// New returns the root command with all subcommands. decode is the decoder of the users'
+// platform, which this package doesn't know.
+func New(decode configcheck.Decoder) *cobra.Command {
+	a := &app{decode: decode}
 	root := newCommandGroup("chicoryctl", "Operates a chicoryscale mesh", a.configCommand(), a.statusCommand(),
 		a.classesCommand(), a.movesCommand(), a.nodesCommand(), a.drainCommand(), a.timelineCommand(), a.logsCommand())
 	root.SilenceUsage, root.SilenceErrors = true, true
--- a/internal/ctl/errors.go
+++ b/internal/ctl/errors.go
@@ -15,7 +15,8 @@
 // Exit codes.
 const (
 	ExitOK ExitCode = 0
-	// ExitFailure means an error that no other code describes.
+	// ExitFailure means an error that no other code describes, and for `config check`
+	// that the configuration has errors.
 	ExitFailure ExitCode = 1
 	// ExitUsage means that the flags, the arguments or the settings are invalid.
 	ExitUsage ExitCode = 2
@@ -34,6 +35,8 @@
 	// ExitNotInForce means that the configuration was accepted but was not in
 	// force on all hosts before the time-out of --wait.
 	ExitNotInForce ExitCode = 7
+	// ExitWarnings means that `config check` found warnings and no errors.
+	ExitWarnings ExitCode = 8
 )
 
 // Error is the error of a failed command.
