--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -14,7 +14,6 @@
 	"github.com/chicoryscale/chicoryscale/internal/core"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/publish"
-	"github.com/chicoryscale/chicoryscale/platform"
 )
 
 // executeCommand runs a command with settings that list a single node, whose
@@ -26,7 +25,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	root := New(platform.DecodeForCheck)
+	root := New(decodeForTest)
 	var out bytes.Buffer
 	root.SetOut(&out)
 	root.SetErr(&out)
