--- a/internal/configcheck/check_test.go
+++ b/internal/configcheck/check_test.go
@@ -88,6 +88,9 @@
 		{"timeout under target", func(c *Configuration) {
 			c.Routes[0].Timeout.Value, c.Routes[0].Attempts.Value = 299*time.Millisecond, 1
 		}, "warning timeout 50"},
+		{"timeout equal to target", func(c *Configuration) {
+			c.Routes[0].Timeout.Value, c.Routes[0].Attempts.Value = 300*time.Millisecond, 1
+		}, ""},
 		{"zero attempts", func(c *Configuration) { c.Routes[0].Attempts.Value = 0 }, "warning attempts 50"},
 		{"attempts absent", func(c *Configuration) { c.Routes[0].Attempts = Field[int]{} }, ""},
 		{"attempts over the timeout", func(c *Configuration) { c.Routes[0].Attempts.Value = 4 }, "warning attempts 50"},
--- a/internal/ctl/check_test.go
+++ b/internal/ctl/check_test.go
@@ -57,6 +57,7 @@
 		{"s", "st", ExitFailure, "FILE:1:1: error: version 1 isn't higher than version 2 in force; hosts would ignore it [version]\n" +
 			"1 change against version 2 (AGAINST)\n  tenant \"t\": removed\n"},
 		{"xx", "s", ExitFailure, "not compared with AGAINST"},
+		{"x", "ss", ExitFailure, "1 error, 0 warnings"}, // none about the version
 		{"s", "x", ExitUsage, "AGAINST:1:1: malformed"},
 	} {
 		next, inForce := filepath.Join(dir, "next"), filepath.Join(dir, "in-force")
