--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -25,7 +25,7 @@
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	root := New()
+	root := New(decodeForTest)
 	var out bytes.Buffer
 	root.SetOut(&out)
 	root.SetErr(&out)
