--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -91,6 +91,9 @@
 	// TimeToTarget is the time until the latency target of the route, negative if it has
 	// passed.
 	TimeToTarget time.Duration
+	// Work is the predicted work of the request as a multiple of the mean of its route.
+	// Zero stands for the mean.
+	Work float64
 	// Excluded lists the instances that must not be chosen.
 	Excluded []mesh.InstanceID
 }
@@ -105,6 +108,7 @@
 
 	state *instance
 	route mesh.Route
+	work  float64 // as a multiple of the mean of the route
 }
 
 // Result is the end of an attempt.
@@ -129,6 +133,10 @@
 	// Load is the gate's load, valid when HasLoad is set.
 	Load    mesh.Load
 	HasLoad bool
+	// StartsIn is the time after which the gate expects a request that arrives now to
+	// start, valid when HasStartsIn is set.
+	StartsIn    time.Duration
+	HasStartsIn bool
 }
 
 // average is an exponentially weighted moving average that returns linearly to a neutral
@@ -171,9 +179,16 @@
 	otherRequests float64
 	backlog       time.Duration
 	reportedAt    mesh.Time
-	slowness      average // duration relative to the mean of the route over all instances
-	failures      average // share of failures
-	avoidUntil    mesh.Time
+	// startsIn is the time after which a request was expected to start, valid if
+	// hasStartsIn is set, and freeSlots the number of free slots, both as of reportedAt.
+	// sentSince counts the requests that this node has sent since then.
+	startsIn    time.Duration
+	hasStartsIn bool
+	freeSlots   int
+	sentSince   int
+	slowness    average // duration relative to the mean of the route over all instances
+	failures    average // share of failures
+	avoidUntil  mesh.Time
 }
 
 func newInstance() *instance {
@@ -293,7 +308,8 @@
 	}
 	full := best.load(now) >= float64(best.Slots)
 	best.inFlight++
-	return Choice{Instance: best.Instance, Found: true, Full: full, state: best, route: req.Route}
+	best.sentSince++
+	return Choice{Instance: best.Instance, Found: true, Full: full, state: best, route: req.Route, work: cmp.Or(req.Work, 1)}
 }
 
 // drawVersion returns a random version for the next request in proportion to the
@@ -345,13 +361,12 @@
 // answer, plus the costs of leaving the failure domain and of a likely failure.
 func (t *Table) expectedTime(now mesh.Time, inst *instance, req *Request) float64 {
 	r := t.route(req.Route)
-	typical := r.duration.valueAt(now)
+	typical := r.duration.valueAt(now) * cmp.Or(req.Work, 1)
 	slowness := inst.slowness.valueAt(now)
 	if inst.inColdStart(now) {
 		slowness = max(slowness, coldStartSlowness)
 	}
-	waiting := max(0, inst.load(now)+1-float64(inst.Slots))
-	wait := waiting / float64(inst.Slots) * t.meanServiceDuration(now, inst.Service) * slowness
+	wait := t.expectedWait(now, inst, slowness)
 	factor := float64(failureCost)
 	if !req.Idempotent {
 		factor = nonIdempotentFailureCost
@@ -428,6 +443,8 @@
 	if res.HasLoad {
 		inst.otherRequests = max(0, float64(int(res.Load.InUse)+int(res.Load.Queued)-inst.inFlight))
 		inst.reportedAt, inst.backlog = now, res.Backlog
+		inst.startsIn, inst.hasStartsIn = res.StartsIn, res.HasStartsIn
+		inst.freeSlots, inst.sentSince = int(res.Load.Slots)-int(res.Load.InUse), 0
 	}
 	if res.Draining {
 		inst.avoidUntil = now.Add(drainBackoff)
@@ -447,13 +464,13 @@
 	}
 	serviceFailures.add(now, failed, routeWeight)
 	if !res.Failed {
-		t.learnDuration(now, inst, c.route, res)
+		t.learnDuration(now, inst, &c, res)
 	}
 }
 
 // learnDuration adds the duration and size of a successful answer to the averages.
-func (t *Table) learnDuration(now mesh.Time, inst *instance, name mesh.Route, res Result) {
-	r := t.route(name)
+func (t *Table) learnDuration(now mesh.Time, inst *instance, c *Choice, res Result) {
+	r := t.route(c.route)
 	d := float64(res.Duration)
 	r.duration.add(now, d, routeWeight)
 	r.bytes.add(now, float64(res.Bytes), routeWeight)
@@ -463,5 +480,5 @@
 		t.serviceDurations[inst.Service] = serviceDuration
 	}
 	serviceDuration.add(now, d, routeWeight)
-	inst.slowness.add(now, d/max(r.duration.value, 1), slownessWeight)
+	inst.slowness.add(now, d/max(r.duration.value*c.work, 1), slownessWeight)
 }
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -8,6 +8,7 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/workcost"
 )
 
 const (
@@ -42,8 +43,11 @@
 	// usable instance.
 	noTargetRetryAfter = 200 * time.Millisecond
 	// overloadRetryAfter is the retry-after time, before jitter, for requests that met
-	// only full instances.
+	// only full instances, if their gates report no expected wait for a slot.
 	overloadRetryAfter = 250 * time.Millisecond
+	// minRetryAfter is the least retry-after time, before jitter, that is derived from the
+	// expected wait for a slot.
+	minRetryAfter = 100 * time.Millisecond
 )
 
 // call is a request in progress at its entry node. Attempts that reach no instance are
@@ -55,11 +59,14 @@
 	service     mesh.Service
 	caller      mesh.Service    // the service of this host when the call arrived
 	tenant      *catalog.Tenant // nil for a call without a key
+	charge      quotaCharge     // to the tenant's quota
 	arrived     mesh.Time
 	deadline    mesh.Time
 	targetAt    mesh.Time // time of the route's latency target
 	fingerprint mesh.Fingerprint
 	suspicion   poison.Suspicion // of crashes that the request caused
+	features    workcost.Request
+	work        float64 // predicted, as a multiple of the route's mean; zero if unknown
 
 	attempt     uint8 // number of the attempt in flight or of the last one
 	inFlight    bool
@@ -85,6 +92,10 @@
 	queueRejections []mesh.InstanceID
 	excluded        []mesh.InstanceID
 	lastReason      mesh.Reason // of the last attempt, which gave the client no answer
+	// startsIn is the shortest expected wait for a slot among the gates that refused the
+	// call, valid if hasStartsIn is set.
+	startsIn    time.Duration
+	hasStartsIn bool
 }
 
 func (e CallArrived) apply(n *Node, s *step) {
@@ -93,7 +104,7 @@
 		n.holdForConfig(s, e)
 		return
 	}
-	n.beginCall(s, e)
+	n.beginCall(s, e, nil)
 }
 
 // heldCall is a request that waits for the first configuration of the node.
@@ -122,7 +133,7 @@
 		if w.Budget > 0 {
 			w.Budget -= s.now.Sub(w.arrived)
 		}
-		n.beginCall(s, w.CallArrived)
+		n.beginCall(s, w.CallArrived, nil)
 	}
 }
 
@@ -134,8 +145,9 @@
 	}
 }
 
-// beginCall starts a request at a node that has a configuration.
-func (n *Node) beginCall(s *step, e CallArrived) {
+// beginCall starts a request at a node that has a configuration. waited is set if it has
+// waited for the accountant of its tenant.
+func (n *Node) beginCall(s *step, e CallArrived, waited *waitingCall) {
 	route := n.config.Match(e.Host, e.Path)
 	if route == nil {
 		n.rejectNew(s, e.Call, mesh.ReasonNoRoute, 0)
@@ -163,11 +175,17 @@
 		})
 		return
 	}
+	charge, admitted := n.admitToQuota(s, &e, tenant, waited)
+	if !admitted {
+		return
+	}
 	c := &call{
 		id: e.Call, route: route, service: n.destination(s, route), caller: n.settings.Service, arrived: s.now,
-		fingerprint: e.Fingerprint, suspicion: check.Suspicion, tenant: tenant,
+		fingerprint: e.Fingerprint, suspicion: check.Suspicion, tenant: tenant, charge: charge,
 	}
 	c.probeLimit = n.table.ProbeCount(s.now, s.random.Next(), c.service, probesBeforeQueue)
+	c.features = c.workRequest(&e)
+	c.work = n.predictWork(s.now, c.features)
 	c.deadline = s.now.Add(limit)
 	c.targetAt = s.now.Add(route.TargetLatency - n.timeSpentByClient(route.Name, e.Budget))
 	n.calls[e.Call] = c
@@ -252,7 +270,7 @@
 // chooseTarget chooses the target of the next attempt. mayQueue is set once enough
 // gates have reported that they are full, or when no other gate is left.
 func (n *Node) chooseTarget(s *step, c *call) (choice placement.Choice, mayQueue bool) {
-	req := placement.Request{Service: c.service, Route: c.route.Name, Idempotent: c.route.Idempotent, TimeToTarget: c.targetAt.Sub(s.now)}
+	req := placement.Request{Service: c.service, Route: c.route.Name, Idempotent: c.route.Idempotent, TimeToTarget: c.targetAt.Sub(s.now), Work: c.work}
 	if len(c.fullInstances) < c.probeLimit {
 		req.Excluded = slices.Concat(c.excluded, c.fullInstances)
 		choice = n.table.Choose(s.now, s.random.Next(), req)
@@ -270,9 +288,17 @@
 		return
 	}
 	c.inFlight = false
+	if e.Outcome == mesh.Answered && !e.Failed {
+		n.recordWork(s.now, c.features, n.table.RelativeWork(s.now, c.choice, e.Duration))
+	}
+	limited := e.isLimitRefusal()
+	if limited {
+		e.Load = limitedLoad(e.Load)
+	}
 	n.table.Done(s.now, c.choice, placement.Result{
 		Served: e.Outcome == mesh.Answered, Failed: e.Failed || e.Outcome == mesh.MayHaveRun || e.Outcome == mesh.NotRun && e.Reached,
-		Draining: e.Reason == mesh.ReasonDraining, Probed: !c.mayQueue, Full: e.Reason == mesh.ReasonOverload && !e.Reached, Duration: e.Duration, Bytes: e.Bytes, Backlog: e.Backlog, Load: e.Load, HasLoad: e.HasLoad,
+		Draining: e.Reason == mesh.ReasonDraining, Probed: !c.mayQueue && !limited, Full: e.Reason == mesh.ReasonOverload && !e.Reached, Duration: e.Duration, Bytes: e.Bytes, Backlog: e.Backlog, Load: e.Load, HasLoad: e.HasLoad,
+		StartsIn: e.StartsIn, HasStartsIn: e.HasStartsIn && n.work != nil && !limited,
 	})
 	if e.HostFailed {
 		n.markUnreachable(s, c.choice.Host)
@@ -289,7 +315,10 @@
 		return
 	}
 	c.lastReason = e.Reason
-	n.continueAfterAttempt(s, c, e)
+	if e.HasStartsIn && n.work != nil && (!c.hasStartsIn || e.StartsIn < c.startsIn) {
+		c.startsIn, c.hasStartsIn = e.StartsIn, true
+	}
+	n.continueAfterAttempt(s, c, e, limited)
 }
 
 // tryRepeatFailedAnswer reports whether another attempt follows an answer that reports a
@@ -303,8 +332,9 @@
 
 // continueAfterAttempt decides whether another attempt follows one that gave no answer
 // for the client, or ends the call. An attempt with a failed answer gets here only if
-// tryRepeatFailedAnswer has allowed another one.
-func (n *Node) continueAfterAttempt(s *step, c *call, e AttemptDone) {
+// tryRepeatFailedAnswer has allowed another one. limited is set for a refusal by the limit
+// of a cold instance, after which the call is sent to other instances as after a closed gate.
+func (n *Node) continueAfterAttempt(s *step, c *call, e AttemptDone, limited bool) {
 	if e.Outcome == mesh.Answered { // the repeat is already charged to the retry budget
 		c.excluded = append(c.excluded, c.choice.ID)
 		n.place(s, c)
@@ -312,6 +342,10 @@
 	}
 	notReached := e.Outcome == mesh.NotRun && !e.Reached
 	switch {
+	case limited:
+		c.placements--
+		c.closedGates++
+		c.excluded = append(c.excluded, c.choice.ID)
 	case notReached && e.Reason == mesh.ReasonOverload && c.mayQueue:
 		c.queueRejections = append(c.queueRejections, c.choice.ID)
 	case notReached && e.Reason == mesh.ReasonOverload:
@@ -353,6 +387,7 @@
 
 func (n *Node) respond(s *step, c *call) {
 	n.counters.Answered++
+	n.endCharge(s, c, true)
 	s.out.Calls = append(s.out.Calls, CallEffect{Call: c.id, Action: CallRespond, Attempt: c.attempt, Outcome: mesh.Answered})
 	delete(n.calls, c.id)
 }
@@ -360,6 +395,7 @@
 // endWithoutAnswer rejects a call. Its outcome is may-have-run if an instance may have
 // run any of its attempts.
 func (n *Node) endWithoutAnswer(s *step, c *call, reason mesh.Reason) {
+	n.endCharge(s, c, c.possibleRuns > 0)
 	effect := CallEffect{Call: c.id, Action: CallReject, Outcome: mesh.NotRun, Reason: reason}
 	if c.possibleRuns > 0 {
 		effect.Outcome = mesh.MayHaveRun
@@ -384,6 +420,9 @@
 	if reason == mesh.ReasonNoTarget || reason == mesh.ReasonConnectionLost || reason == mesh.ReasonDraining {
 		base = noTargetRetryAfter
 	}
+	if c.hasStartsIn && (reason == mesh.ReasonOverload || reason == mesh.ReasonDeadline) {
+		base = max(2*c.startsIn, minRetryAfter) // after jitter at least startsIn
+	}
 	return min(s.jitter(base), max(c.deadline.Sub(s.now)/3, 0))
 }
 
@@ -393,9 +432,11 @@
 	c := n.calls[e.Call]
 	if c == nil {
 		n.heldCalls = slices.DeleteFunc(n.heldCalls, func(w heldCall) bool { return w.Call == e.Call })
+		n.waitingCalls = slices.DeleteFunc(n.waitingCalls, func(w waitingCall) bool { return w.Call == e.Call })
 		return
 	}
 	n.counters.Cancelled++
+	n.endCharge(s, c, c.possibleRuns > 0 || c.inFlight)
 	if c.inFlight {
 		n.table.Done(s.now, c.choice, placement.Result{})
 	}
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -19,6 +19,7 @@
 	n.rejectExpiredHeldCalls(s)
 	n.poison.Expire(s.now)
 	n.tickRollouts(s)
+	n.tickQuota(s)
 }
 
 // tickRollouts advances the roll-outs that this host drives and reports evidence to
@@ -39,16 +40,26 @@
 }
 
 // reportEvidence sends the counts of the local instance to the driver of its
-// service's roll-out.
+// service's roll-out. It also sends unchanged counts, to a new driver at once: a driver
+// that gets no reports can't tell a lack of traffic from a lack of contact.
 func (n *Node) reportEvidence(s *step) {
 	l := &n.local
 	driver, order, ok := n.rollouts.EvidenceDriver(l.service)
-	if !ok || !l.countsUnreported || l.countsOrder != order || s.now.Sub(l.evidenceReportedAt) < evidenceInterval {
+	if !ok {
 		return
 	}
-	l.evidenceReportedAt, l.countsUnreported = s.now, false
+	l.beginCounts(order)
+	interval := maxEvidenceInterval
+	if l.countsUnreported {
+		interval = evidenceInterval
+	}
+	if driver == l.evidenceReportedTo && s.now.Sub(l.evidenceReportedAt) < interval {
+		return
+	}
+	l.evidenceReportedAt, l.evidenceReportedTo, l.countsUnreported = s.now, driver, false
 	e := rollout.Evidence{
 		Host: n.settings.Host, Incarnation: n.self.Incarnation, Service: l.service, Version: l.version, Instance: l.id, Order: order,
+		Slots: int(l.slots),
 	}
 	for _, name := range slices.SortedFunc(maps.Keys(l.routeCounts), cmp.Compare[mesh.Route]) {
 		e.Routes = append(e.Routes, *l.routeCounts[name])
@@ -73,6 +84,10 @@
 		"order", e.Order.Revision, "duration_ms", e.Order.Duration.Milliseconds())
 }
 
+func (e RolloutMissing) apply(n *Node, s *step) {
+	n.rollouts.RowMissing(s.now, e.Service, e.Era)
+}
+
 func (e RolloutSeen) apply(n *Node, s *step) {
 	if !n.rollouts.ApplyRow(s.now, e.Row) {
 		return
@@ -88,7 +103,7 @@
 	slots := make(rollout.Slots)
 	for _, m := range n.members {
 		if i := m.Instance; i != nil && i.Service == service {
-			slots[i.Version] += m.usableSlots()
+			slots[i.Version] += n.usableSlots(m)
 		}
 	}
 	return slots
@@ -106,7 +121,7 @@
 			services[i.Service] = make(rollout.Slots)
 		}
 		// A version whose instances are all unusable is listed with zero slots.
-		services[i.Service][i.Version] += m.usableSlots()
+		services[i.Service][i.Version] += n.usableSlots(m)
 	}
 	for service, slots := range services {
 		n.table.SetShares(sharesForPlan(service, slots, n.rollouts.Plan(service)))
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -5,7 +5,9 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
 )
 
@@ -23,6 +25,9 @@
 	Fingerprint mesh.Fingerprint
 	// Key is the key of a tenant that the request carries, empty for none.
 	Key string
+	// Method and BodyBytes describe the request for the prediction of its work.
+	Method    string
+	BodyBytes int
 	// Budget is the time for which the client still waits. Zero means no limit. It is
 	// unrelated to the retry budget.
 	Budget time.Duration
@@ -54,6 +59,10 @@
 	// Load is the gate's load, valid when HasLoad is set.
 	Load    mesh.Load
 	HasLoad bool
+	// StartsIn is the time after which the gate expects a request that arrives now to
+	// start, valid when HasStartsIn is set.
+	StartsIn    time.Duration
+	HasStartsIn bool
 }
 
 // CallCancelled reports that the client has disconnected.
@@ -78,6 +87,10 @@
 	Suspicion   poison.Suspicion
 	// RepeatProbability is CallEffect.RepeatProbability of the forwarded attempt.
 	RepeatProbability float64
+	// Method, Path and BodyBytes describe the request for the prediction of its work.
+	Method    string
+	Path      string
+	BodyBytes int
 }
 
 // GateResult is the way in which a request to an instance ended.
@@ -134,6 +147,12 @@
 	ID mesh.InstanceID
 	// Serving is set if the instance with this ID answered the probe as healthy.
 	Serving bool
+	// WarmUp is the time for which the instance will still be cold, valid if WarmUpStated
+	// is set.
+	WarmUp       time.Duration
+	WarmUpStated bool
+	// WarmUpOnly is InstanceProbe.WarmUpOnly.
+	WarmUpOnly bool
 }
 
 // InstanceLeft reports that the instance is about to exit.
@@ -164,6 +183,13 @@
 // OrderSeen carries an operator's order to move a service to another version.
 type OrderSeen struct{ Order rollout.Order }
 
+// RolloutMissing states that the store, which has gone back to an older state, lacks the
+// row of a service's roll-out.
+type RolloutMissing struct {
+	Service mesh.Service
+	Era     platform.Era
+}
+
 // RolloutSeen carries the shared state of a roll-out, as stored in its row.
 type RolloutSeen struct{ Row rollout.Row }
 
@@ -205,6 +231,15 @@
 	Probes     []InstanceProbe
 	Evidence   []EvidenceReport
 	Writes     []rollout.Write
+	// QuotaReports are reports to be sent to the coordinator of the quotas, and QuotaWrites
+	// writes of its row. QuotaGrant is the answer to a QuotaReported.
+	QuotaReports []QuotaReport
+	QuotaWrites  []quota.RowWrite
+	QuotaGrant   quota.Grant
+	// QuotaQuestions are questions to accountants, and QuotaAnswer is the answer to a
+	// QuotaAsked.
+	QuotaQuestions []AddressedQuestion
+	QuotaAnswer    QuotaAnswer
 	// Removals are hosts whose rows are to be removed.
 	Removals []mesh.HostID
 	// Announce is set when the record of this host has changed and is to be published.
@@ -218,6 +253,8 @@
 func (r *Ready) Reset() {
 	r.Calls, r.Gates, r.LogRecords = r.Calls[:0], r.Gates[:0], r.LogRecords[:0]
 	r.Checks, r.Probes, r.Evidence, r.Writes = r.Checks[:0], r.Probes[:0], r.Evidence[:0], r.Writes[:0]
+	r.QuotaQuestions, r.QuotaAnswer = r.QuotaQuestions[:0], QuotaAnswer{}
+	r.QuotaReports, r.QuotaWrites, r.QuotaGrant = r.QuotaReports[:0], r.QuotaWrites[:0], quota.Grant{}
 	r.Removals, r.Announce, r.MembersChanged = r.Removals[:0], false, false
 }
 
@@ -288,6 +325,11 @@
 	Deadline  mesh.Time
 	Load      mesh.Load
 	Suspicion poison.Suspicion
+	// StartsIn is AttemptDone.StartsIn for a rejected request.
+	StartsIn    time.Duration
+	HasStartsIn bool
+	// Predicted is the predicted duration of a dispatched request, zero if none is.
+	Predicted time.Duration
 }
 
 // PeerCheck requests an exchange with a peer, to find out whether it is alive.
@@ -300,6 +342,8 @@
 type InstanceProbe struct {
 	ID   mesh.InstanceID
 	Path string
+	// WarmUpOnly is set for a probe that only asks whether the instance is cold.
+	WarmUpOnly bool
 }
 
 // EvidenceReport is evidence to be sent to the driver of a roll-out.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -6,8 +6,10 @@
 
 	"github.com/chicoryscale/chicoryscale/internal/admission"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
+	"github.com/chicoryscale/chicoryscale/internal/workcost"
 )
 
 const (
@@ -19,6 +21,8 @@
 	// evidenceInterval is the shortest time between two reports of evidence, the counts
 	// of the instance's answers, from a gate to the driver of a roll-out.
 	evidenceInterval = 300 * time.Millisecond
+	// maxEvidenceInterval replaces evidenceInterval while the counts don't change.
+	maxEvidenceInterval = 600 * time.Millisecond
 	// maxClockDifference bounds by how much the instance's time of day may be ahead of this
 	// process's, which is that of its start.
 	maxClockDifference = time.Hour
@@ -33,6 +37,7 @@
 	suspicion         poison.Suspicion // known when the request arrived
 	repeatProbability float64
 	dispatchedAt      mesh.Time
+	features          workcost.Request
 }
 
 // localInstance is the instance on this host.
@@ -54,9 +59,10 @@
 	// order has the revision countsOrder. countsUnreported is set when counts were added
 	// since the last report to its driver.
 	routeCounts        map[mesh.Route]*rollout.RouteCount
-	countsOrder        uint64
+	countsOrder        platform.Revision
 	countsUnreported   bool
 	evidenceReportedAt mesh.Time
+	evidenceReportedTo mesh.HostID
 }
 
 func (e GateArrived) apply(n *Node, s *step) {
@@ -79,11 +85,15 @@
 		n.rejectAtGate(s, e.Call, mesh.ReasonOverload, poison.Suspicion{})
 		return
 	}
-	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, suspicion: check.Suspicion, repeatProbability: e.RepeatProbability}
+	if !n.warmup.Allow(s.now) {
+		n.refuseWarmUp(s, e.Call, load)
+		return
+	}
+	n.gateCalls[e.Call] = &gateCall{instance: e.Instance, route: e.Route, fingerprint: e.Fingerprint, suspicion: check.Suspicion, repeatProbability: e.RepeatProbability, features: e.workRequest()}
 	n.gateEffects = n.gate.Arrive(s.now, admission.Call{
-		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank), TenantRank: e.TenantRank,
+		ID: e.Call, Instance: e.Instance, Route: e.Route, Priority: priority(e.Rank), Tenant: e.Tenant, TenantRank: e.TenantRank,
 		Deadline: s.now.Add(e.TimeLeft), Target: s.now.Add(e.TimeToTarget),
-		Fingerprint: e.Fingerprint, Exclusive: check.Verdict == poison.Suspect,
+		Fingerprint: e.Fingerprint, Exclusive: check.Verdict == poison.Suspect, Work: n.predictWork(s.now, e.workRequest()),
 	}, n.gateEffects)
 }
 
@@ -96,7 +106,7 @@
 // instance, ReasonNone if it does accept requests.
 func (n *Node) gateClosedReason(id mesh.InstanceID) mesh.Reason {
 	switch {
-	case n.self.Leaving:
+	case n.self.Leaving || n.Evacuated(n.settings.Domain):
 		return mesh.ReasonDraining
 	case n.local.id == "" || n.local.id != id || n.local.down:
 		return mesh.ReasonNoTarget
@@ -111,6 +121,7 @@
 	s.out.Gates = append(s.out.Gates, GateEffect{
 		Call: id, Action: GateReject, Reason: reason, Load: n.gate.Load(n.local.id), Suspicion: suspicion,
 	})
+	n.setStartsIn(s)
 }
 
 func (e GateDone) apply(n *Node, s *step) {
@@ -123,8 +134,14 @@
 		n.runs.end(s.now)
 	}
 	n.countEvidence(s, c, e)
+	if c.instance == n.local.id && (e.Result == GateLost || e.Result == GateNotSent) {
+		n.warmup.ConnectionLost()
+	}
 	switch e.Result {
 	case GateAnswered:
+		if !e.Failed {
+			n.recordWork(s.now, c.features, n.gate.RelativeWork(c.instance, c.route, s.now.Sub(c.dispatchedAt)))
+		}
 		if n.poison.RecordSuccess(s.now, c.fingerprint, c.suspicion) {
 			s.log("request.cleared", "fingerprint", uint64(c.fingerprint), "instance", string(c.instance))
 		}
@@ -158,6 +175,7 @@
 		return
 	}
 	n.local.down = true
+	n.resetWarmUp(s)
 	s.log("instance.down", "instance", string(id), "cause", cause)
 	n.gateEffects = n.gate.RemoveInstance(s.now, id, n.gateEffects)
 	n.announceSelf(s)
@@ -182,9 +200,15 @@
 // flushGate converts the pending effects of the admission gate into effects of the
 // step.
 func (n *Node) flushGate(s *step) {
-	for _, e := range n.gateEffects {
+	for i := 0; i < len(n.gateEffects); i++ { // refuseDispatch appends effects
+		e := n.gateEffects[i]
 		switch e.Action {
 		case admission.Dispatch:
+			if !n.warmup.Allow(s.now) {
+				n.refuseDispatch(s, &e)
+				continue
+			}
+			n.warmup.Dispatched(s.now)
 			n.counters.GateDispatched++
 			if c := n.gateCalls[e.Call]; c != nil {
 				c.dispatchedAt = s.now
@@ -194,12 +218,13 @@
 				}
 			}
 			s.out.Gates = append(s.out.Gates, GateEffect{
-				Call: e.Call, Action: GateDispatch, Instance: e.Instance, Deadline: e.Deadline, Load: e.Load,
+				Call: e.Call, Action: GateDispatch, Instance: e.Instance, Deadline: e.Deadline, Load: e.Load, Predicted: e.Predicted,
 			})
 		case admission.Reject:
 			delete(n.gateCalls, e.Call)
 			n.counters.GateRejected++
 			s.out.Gates = append(s.out.Gates, GateEffect{Call: e.Call, Action: GateReject, Reason: e.Reason, Load: e.Load})
+			n.setStartsIn(s)
 		}
 	}
 	n.gateEffects = n.gateEffects[:0]
@@ -234,6 +259,7 @@
 			n.gateEffects = n.gate.RemoveInstance(s.now, l.id, n.gateEffects)
 		}
 		*l = localInstance{id: e.ID, born: e.Born}
+		n.resetWarmUp(s)
 	}
 	previous := *l
 	l.service, l.version, l.slots = e.Service, e.Version, max(e.Slots, 1)
@@ -242,7 +268,9 @@
 	}
 	l.draining, l.down = e.Draining || l.draining && !isNew || n.hasLeft(e.ID, e.Born), false
 	l.warmAt = s.now.Add(e.WarmUp)
-	n.gateEffects = n.gate.SetInstance(s.now, admission.Instance{ID: l.id, Slots: l.slots, Draining: l.draining || l.left}, n.gateEffects)
+	n.updateWarmUpLimit(s)
+	n.warmup.Heartbeat(s.now, e.WarmUp, n.healthPath() != "")
+	n.setGateInstance(s)
 	if isNew || previous.version != l.version || previous.slots != l.slots || previous.draining != l.draining || previous.down != l.down || previous.service != l.service {
 		s.log("instance.reported", "instance", string(l.id), "service", string(l.service), "version", string(l.version),
 			"slots", l.slots, "draining", l.draining, "warm_up_ms", e.WarmUp.Milliseconds(), "sequence", e.Sequence, "born", e.Born)
@@ -291,10 +319,17 @@
 	}
 	n.local.left = true
 	s.log("instance.left", "instance", string(e.ID), "known", true)
-	n.gateEffects = n.gate.SetInstance(s.now, admission.Instance{ID: e.ID, Slots: n.local.slots, Draining: true}, n.gateEffects)
+	n.setGateInstance(s)
 	n.announceSelf(s)
 }
 
+// beginCounts starts the counts for an order, unless they are for this order already.
+func (l *localInstance) beginCounts(order platform.Revision) {
+	if l.countsOrder != order {
+		l.routeCounts, l.countsOrder = make(map[mesh.Route]*rollout.RouteCount), order
+	}
+}
+
 // countEvidence adds the result of a request to the evidence about the version of the
 // instance, if a roll-out of its service is running.
 func (n *Node) countEvidence(s *step, c *gateCall, e GateDone) {
@@ -306,9 +341,7 @@
 	if order == 0 {
 		return
 	}
-	if l.countsOrder != order {
-		l.routeCounts, l.countsOrder = make(map[mesh.Route]*rollout.RouteCount), order
-	}
+	l.beginCounts(order)
 	r := l.routeCounts[c.route]
 	if r == nil {
 		r = &rollout.RouteCount{Route: c.route}
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -11,6 +11,7 @@
 package proxy
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/admission"
@@ -18,9 +19,12 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/placement"
 	"github.com/chicoryscale/chicoryscale/internal/poison"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/random"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
+	"github.com/chicoryscale/chicoryscale/internal/warmup"
+	"github.com/chicoryscale/chicoryscale/internal/workcost"
 )
 
 // Settings describe the host and the limits of the deployment.
@@ -38,6 +42,14 @@
 	Incarnation mesh.Incarnation
 	// Repeats is the retry budget that all nodes of the deployment share.
 	Repeats retry.WindowBudget
+	// Warmup bounds the requests that a cold instance may receive.
+	Warmup warmup.Bounds
+	// Quota states by how much tenants may exceed their quotas. The zero value stands for
+	// quota.DefaultBounds.
+	Quota quota.Bounds
+	// WorkAware makes placement and the gate use the predicted work of each request
+	// instead of the mean work of its route.
+	WorkAware bool
 }
 
 // Node is the reducer of one sidecar.
@@ -49,6 +61,7 @@
 	gate     *admission.Gate
 	poison   *poison.Table
 	rollouts *rollout.Reducer
+	work     *workcost.Estimator // nil unless Settings.WorkAware is set
 	windows  map[mesh.Service]*retry.Window
 	// routeWindows count the requests and repeats of each route at this node as the
 	// entry node. runs counts the runs of the instance on this host.
@@ -57,10 +70,23 @@
 	splits        map[mesh.Route]*trafficSplit
 	maxClientTime map[mesh.Route]time.Duration // largest CallArrived.Budget of each route so far
 
-	heldCalls   []heldCall // requests that wait for the first configuration, oldest first
-	calls       map[mesh.CallID]*call
-	gateCalls   map[mesh.CallID]*gateCall
-	gateEffects []admission.Effect
+	heldCalls    []heldCall // requests that wait for the first configuration, oldest first
+	quota        *quota.Node
+	quotaEffects quota.Effects // of the current step; reused
+	// waitingCalls are requests that wait for a share of their tenant's quota, oldest first.
+	waitingCalls         []waitingCall
+	accountantHosts      []mesh.HostID // of this failure domain
+	accountantsChangedAt mesh.Time
+	holderCount          int // accountants of all failure domains
+	nextBaseCheck        mesh.Time
+	accountants          map[mesh.HostID]*accountant
+	calls                map[mesh.CallID]*call
+	gateCalls            map[mesh.CallID]*gateCall
+	gateEffects          []admission.Effect
+	warmup               *warmup.Limiter // of the instance on this host
+	// loggedWarmUp is the state of the instance in the newest log line about it.
+	loggedWarmUp warmup.State
+	evacuations  map[mesh.FailureDomain]evacuation
 
 	self    Member
 	members map[mesh.HostID]*memberState
@@ -99,6 +125,9 @@
 		settings:       s,
 		table:          placement.New(s.Domain),
 		gate:           admission.New(admission.Limits{QueuePerSlot: queuePerSlot, InitialServiceTime: initialServiceTime}),
+		accountants:    make(map[mesh.HostID]*accountant),
+		evacuations:    make(map[mesh.FailureDomain]evacuation),
+		warmup:         warmup.New(now, s.Warmup),
 		poison:         poison.New(),
 		rollouts:       rollout.New(s.Host),
 		windows:        make(map[mesh.Service]*retry.Window),
@@ -112,6 +141,11 @@
 		forgotten:      make(map[mesh.HostID]forgottenHost),
 		firstAnnounced: make(map[mesh.InstanceID]mesh.Time),
 		started:        now,
+		quota:          quota.NewNode(now, s.Host, s.Incarnation, cmp.Or(s.Quota, quota.DefaultBounds)),
+	}
+	n.quota.SetResponsible(func(tenant mesh.Tenant) bool { return n.accountantOf(tenant) == s.Host })
+	if s.WorkAware {
+		n.work = workcost.New()
 	}
 	n.self = Member{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: s.ForwardAddr, PeerAddr: s.PeerAddr,
@@ -128,6 +162,7 @@
 	s := &step{now: now, random: random.New(seed), out: out}
 	ev.apply(n, s)
 	n.flushGate(s)
+	n.probeWarmUp(s)
 	if n.membersChanged {
 		n.membersChanged = false
 		n.updateRouting(s)
@@ -156,14 +191,18 @@
 
 // Idle reports whether no request is in progress.
 func (n *Node) Idle() bool {
-	return len(n.heldCalls) == 0 && len(n.calls) == 0 && len(n.gateCalls) == 0
+	return len(n.heldCalls) == 0 && len(n.waitingCalls) == 0 && len(n.calls) == 0 && len(n.gateCalls) == 0
 }
 
 // Config returns the configuration in force, nil if none is known.
 func (n *Node) Config() *catalog.Snapshot { return n.config }
 
 // Counters returns the counts since the start of the process.
-func (n *Node) Counters() Counters { return n.counters }
+func (n *Node) Counters() Counters {
+	c := n.counters
+	c.Quota = n.quota.Counters()
+	return c
+}
 
 // Counters count decisions since the start of the process.
 type Counters struct {
@@ -172,9 +211,12 @@
 	Repeats                                              [repeatCauses]uint64 // by cause
 	GateCalls, GateDispatched, GateRejected              uint64
 	GateRepeats                                          uint64 // dispatched requests that are certainly repeats
+	Evacuations                                          uint64 // begins and ends of evacuations that this node has learned of
+	WarmUpRefused, WarmUpProbes                          uint64 // requests refused by the limit of a cold instance, and probes for it
 	HostFailures, ConfigApplied                          uint64
 	UnknownKeys                                          uint64 // requests refused because no tenant holds their key
 	HeartbeatsAccepted, HeartbeatsIgnored, RolloutWrites uint64
+	Quota                                                quota.Counters
 }
 
 func (e StoreState) apply(n *Node, s *step) {
@@ -205,6 +247,8 @@
 	}
 	n.splits = keptSplits
 	n.routeWindows = keptWindows
+	n.updateWarmUpLimit(s)
+	n.quota.Configure(s.now, e.Snapshot.Tenants)
 	s.log("config.applied", "version", uint64(e.Snapshot.Version), "routes", len(e.Snapshot.Routes), "services", len(e.Snapshot.Services))
 	n.probePredecessorInstance(s)
 	n.confirmReport(s)
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -48,7 +48,11 @@
 	backlog    time.Duration // time that large answers wait for the host's link
 	load       mesh.Load     // of the gate, valid if hasLoad is set
 	hasLoad    bool
-	response   *upstream.Response // set if the outcome is Answered
+	// startsIn is the time after which the gate expects a request that arrives now to
+	// start, valid if hasStartsIn is set.
+	startsIn    time.Duration
+	hasStartsIn bool
+	response    *upstream.Response // set if the outcome is Answered
 }
 
 // failed reports whether the instance answered with a server error.
@@ -84,6 +88,9 @@
 // classifyHostError returns the result of a request that could not be sent to another
 // node, or whose answer did not arrive.
 func classifyHostError(ctx context.Context, err error) gateAnswer {
+	if errorx.IsOfType(err, upstream.ErrBusy) { // a limit of this node, which says nothing about the host
+		return gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonOverload}
+	}
 	cancelled := ctx.Err() != nil
 	a := gateAnswer{outcome: mesh.MayHaveRun, reason: mesh.ReasonConnectionLost, hostFailed: !cancelled, reached: true}
 	if cancelled {
@@ -133,6 +140,7 @@
 		content = a.response.Content()
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(content.Len()))
+	holdAnswer(r, content.Len())
 	w.WriteHeader(status)
 	if err := n.link.Send(r.Context(), w, content, http.NewResponseController(w).Flush); err != nil {
 		n.log.Line(time.Now(), "gate.write_failed", "remote", r.RemoteAddr, "error", err.Error())
@@ -156,6 +164,7 @@
 	n.step(proxy.GateArrived{
 		Call: id, Instance: f.instance, Route: f.route, Rank: f.rank, Tenant: mesh.Tenant(f.header.Get(n.headers.Tenant)), TenantRank: f.tenantRank, TimeLeft: f.deadline.Sub(n.now()), TimeToTarget: f.leftToTarget,
 		MayQueue: f.mayQueue, Fingerprint: f.fingerprint, Suspicion: f.suspicion, RepeatProbability: f.repeatProbability,
+		Method: f.method, Path: pathOf(f.target), BodyBytes: len(f.body),
 	})
 	select {
 	case e := <-effects:
@@ -163,10 +172,15 @@
 			waited := time.Since(arrived)
 			a := n.dispatch(ctx, id, f)
 			a.waited = waited
+			n.metrics.work.recordRun(e.Predicted, &a)
 			return a
 		}
 		n.logGateResult(f, id, "rejected", e.Reason, e.Load, 0, nil)
-		return gateAnswer{outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, suspicion: e.Suspicion}
+		n.metrics.work.recordRefusal(e.Reason, f.deadline.Sub(n.now()))
+		return gateAnswer{
+			outcome: mesh.NotRun, reason: e.Reason, load: e.Load, hasLoad: true, suspicion: e.Suspicion,
+			startsIn: e.StartsIn, hasStartsIn: e.HasStartsIn,
+		}
 	case <-ctx.Done():
 	}
 	n.step(proxy.GateCancelled{Call: id})
@@ -212,6 +226,7 @@
 			a.suspicion = r.Suspicion(n.now(), f.fingerprint)
 		}
 		a.load, a.hasLoad = r.LocalLoad(), true
+		a.startsIn, a.hasStartsIn = r.LocalStartsIn(n.now())
 	})
 	a.duration = time.Since(began)
 	n.metrics.recordGate(done.Result, time.Since(began))
@@ -255,16 +270,40 @@
 func (n *Node) probeInstance(ctx context.Context, p proxy.InstanceProbe) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
+	result, err := n.askHealth(ctx, p)
+	if err != nil {
+		n.log.Line(time.Now(), "instance.probe_failed", "instance", string(p.ID), "error", err.Error())
+	}
+	n.step(result)
+}
+
+// askHealth sends a health check and returns its result, which is that of an instance that
+// doesn't serve if no answer came.
+func (n *Node) askHealth(ctx context.Context, p proxy.InstanceProbe) (proxy.InstanceProbed, error) {
+	result := proxy.InstanceProbed{ID: p.ID, WarmUpOnly: p.WarmUpOnly}
 	resp, err := n.instancePool.Do(ctx, &upstream.Request{
 		Method: http.MethodGet, Target: p.Path, Host: n.settings.InstanceAddr, Header: http.Header{}, NeedsFreshConn: true,
 	})
 	if err != nil {
-		n.log.Line(time.Now(), "instance.probe_failed", "instance", string(p.ID), "error", err.Error())
+		return result, err
 	}
-	n.step(proxy.InstanceProbed{
-		ID:      p.ID,
-		Serving: err == nil && resp.Status == http.StatusOK && resp.Header.Get(n.headers.Instance) == string(p.ID),
-	})
+	result.Serving = resp.Status == http.StatusOK && resp.Header.Get(n.headers.Instance) == string(p.ID)
+	result.WarmUp, result.WarmUpStated = parseWarmUp(resp.Header.Get(n.headers.WarmUpLeft))
+	return result, nil
+}
+
+// parseWarmUp parses the value of the header WarmUpLeft. It reports false if the instance
+// states none. A value that is no time counts as the longest warm-up, because it doesn't
+// show that the instance is warm.
+func parseWarmUp(text string) (left time.Duration, stated bool) {
+	if text == "" {
+		return 0, false
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms >= 0 && ms <= float64(proxy.MaxWarmUp/time.Millisecond)) {
+		return proxy.MaxWarmUp, true
+	}
+	return time.Duration(ms * float64(time.Millisecond)), true
 }
 
 // classifyInstanceAnswer derives the result of a request from the answer at the
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -6,11 +6,13 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
+	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
 	"github.com/chicoryscale/chicoryscale/internal/membudget"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
@@ -32,6 +34,9 @@
 	answer      gateAnswer // of the latest attempt
 	// cancelAttempt cancels the latest attempt, whose answer may still be arriving.
 	cancelAttempt context.CancelFunc
+	// answered is called when the answer is known. A client that doesn't read it must not
+	// keep other requests out.
+	answered func()
 }
 
 // serveCall handles a request of a client or of the instance on this host.
@@ -49,11 +54,18 @@
 		return
 	}
 	defer buffer.Release()
+	if !n.beginRequest() {
+		n.guard.Shed(clientlimit.Requests)
+		n.refuseRequest(w, r, clientlimit.Requests)
+		return
+	}
+	ended := sync.OnceFunc(n.endRequest)
+	defer ended()
 	body := buffer.Bytes()
 	req := &request{
 		node: n, id: mesh.CallID(n.nextID.Add(1)), http: r, body: body,
 		fingerprint: fingerprint(r.Method, r.RequestURI, body), effects: make(chan proxy.CallEffect, effectBuffer),
-		cancelAttempt: func() {},
+		cancelAttempt: func() {}, answered: ended,
 	}
 	n.mu.Lock()
 	n.callEffects[req.id] = req.effects
@@ -63,9 +75,9 @@
 		delete(n.callEffects, req.id)
 		n.mu.Unlock()
 	}()
-	path, _, _ := strings.Cut(r.RequestURI, "?")
 	n.step(proxy.CallArrived{
-		Call: req.id, Host: r.Host, Path: path, Fingerprint: req.fingerprint, Budget: parseMillis(r.Header.Get(n.headers.DeadlineMillis)), Key: r.Header.Get(n.headers.Key),
+		Call: req.id, Host: r.Host, Path: pathOf(r.RequestURI), Fingerprint: req.fingerprint, Budget: parseMillis(r.Header.Get(n.headers.DeadlineMillis)), Key: r.Header.Get(n.headers.Key),
+		Method: r.Method, BodyBytes: len(body),
 	})
 	outcome := req.run(w)
 	n.metrics.recordCall(outcome, time.Since(began))
@@ -74,10 +86,19 @@
 		"to", string(outcome.host), "instance", string(outcome.instance), "ms", time.Since(began).Milliseconds())
 }
 
+// pathOf returns the path of a request target, without the query.
+func pathOf(target string) string {
+	path, _, _ := strings.Cut(target, "?")
+	return path
+}
+
 // readBody reads the body of a request. The buffer counts against the node's memory
 // budget until it is released.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request) (*membudget.Buffer, error) {
 	if r.ContentLength == 0 || r.Body == http.NoBody {
+		if conn := clientlimit.FromContext(r.Context()); conn != nil {
+			conn.RequestRead()
+		}
 		return n.bodyMemory.NewBuffer(0), nil
 	}
 	limit := defaultBodyBytes
@@ -86,7 +107,15 @@
 			limit = c.Limits.BodyBytes
 		}
 	})
-	return n.bodyMemory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), limit)
+	size := limit
+	if r.ContentLength > 0 {
+		size = int(min(r.ContentLength, int64(limit)))
+	}
+	buffer, err := n.bodyMemory.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)), size)
+	if conn := clientlimit.FromContext(r.Context()); conn != nil && err == nil {
+		conn.RequestRead()
+	}
+	return buffer, err
 }
 
 // bodyRetryAfter is the retry delay, in seconds, sent to a client whose body exceeds the
@@ -136,6 +165,7 @@
 				o.attempts, o.host, o.instance = e.Attempt, e.Host, e.Instance
 				r.forward(ctx, &e)
 			case proxy.CallRespond:
+				r.answered()
 				o.status = r.respond(w, &o)
 				return o
 			default:
@@ -180,6 +210,7 @@
 	n.step(proxy.AttemptDone{
 		Call: r.id, Attempt: e.Attempt, Outcome: a.outcome, Reason: a.reason, Failed: a.failed(), Reached: a.reached,
 		HostFailed: a.hostFailed, Suspicion: a.suspicion, Duration: max(a.duration, time.Since(started)-a.waited), Bytes: a.bytes(), Backlog: a.backlog, Load: a.load, HasLoad: a.hasLoad,
+		StartsIn: a.startsIn, HasStartsIn: a.hasStartsIn,
 	})
 }
 
@@ -194,7 +225,7 @@
 }
 
 // wallTime converts a time of the reducer to a time.Time.
-func (n *Node) wallTime(t mesh.Time) time.Time { return n.started.Add(t.Sub(n.startTime)) }
+func (n *Node) wallTime(t mesh.Time) time.Time { return time.Now().Add(t.Sub(n.now())) }
 
 // respond sends the instance's answer to the client. If the connection to the gate fails
 // while the answer arrives, the client's connection is closed before the stated
@@ -209,6 +240,7 @@
 		header["Content-Type"] = nil // keeps net/http from setting a guessed type
 	}
 	header.Set("Content-Length", strconv.Itoa(resp.Size()))
+	holdAnswer(r.http, resp.Size())
 	w.WriteHeader(resp.Status)
 	err := n.link.Send(r.http.Context(), w, resp.Content(), http.NewResponseController(w).Flush)
 	if err == nil {
@@ -233,7 +265,7 @@
 	return status
 }
 
-// rejectStatus returns the HTTP status for a rejected request. 503 promises that the
+// rejectStatus returns the HTTP status for a rejected request. 429 and 503 promise that the
 // request has not run; 502 and 504 promise nothing.
 func rejectStatus(outcome mesh.Outcome, reason mesh.Reason) int {
 	switch {
@@ -245,6 +277,8 @@
 		return http.StatusNotFound
 	case reason == mesh.ReasonUnknownKey:
 		return http.StatusUnauthorized
+	case reason == mesh.ReasonQuota:
+		return http.StatusTooManyRequests
 	}
 	return http.StatusServiceUnavailable
 }
--- a/internal/sidecar/platform.go
+++ b/internal/sidecar/platform.go
@@ -8,6 +8,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/chicoryscale/chicoryscale/internal/catalog"
+	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 	"github.com/chicoryscale/chicoryscale/internal/rollout"
@@ -30,8 +31,8 @@
 
 // Tables.
 const (
-	// TableOperator holds the rows that operators write: the configuration and orders
-	// of roll-outs.
+	// TableOperator holds the rows that operators write: the configuration, orders of
+	// roll-outs and evacuations.
 	TableOperator Table = iota
 	// TableShared holds the rows that nodes write for each other: members and the
 	// state of roll-outs.
@@ -54,18 +55,22 @@
 }
 
 // Store is the platform's transactional table store. One counter provides the
-// revisions of the rows of all tables.
+// revisions of the rows of all tables. If the store goes back to an older state, the era
+// of its revisions rises.
 type Store interface {
 	// Rows returns all rows of a table and the revision up to which they include all
 	// changes.
 	Rows(ctx context.Context, t Table) ([]platform.Row, platform.Revision, error)
 	// Changes returns the changes after a revision and the revision up to which they
 	// include all changes. If there are none, it waits for the given time. It fails with
-	// ErrHistoryLost if the store no longer keeps some of the changes.
+	// ErrHistoryLost if the store no longer keeps some of the changes, or if it is in
+	// another era than the revision.
 	Changes(ctx context.Context, t Table, after platform.Revision, wait time.Duration) ([]Change, platform.Revision, error)
 	// Commit writes all rows if the checked row of TableShared has the expected
-	// revision. It returns the new revision. If it fails with ErrConflict, it returns
-	// the current row, whose revision is zero if the row doesn't exist.
+	// revision, whose version is zero if the row must not exist. It returns the new
+	// revision. If it fails with ErrConflict, it returns the current row, whose version is
+	// zero if the row doesn't exist, or no row if the expected revision is of an earlier
+	// era.
 	Commit(ctx context.Context, check platform.Check, writes []Write) (platform.Revision, platform.Row, error)
 }
 
@@ -101,6 +106,9 @@
 	Key string
 	// Tenant is the tenant that holds the request's key, as stated to the instance.
 	Tenant string
+	// WarmUpLeft is the time in milliseconds, in a health answer, for which the instance
+	// will still be cold.
+	WarmUpLeft string
 }
 
 // ControlCall is a call to the node by the instance on its host: a heartbeat (Report)
@@ -120,6 +128,13 @@
 	ReadyPath() string
 	// DecodeOperatorRow decodes a row of TableOperator.
 	DecodeOperatorRow(row platform.Row) (OperatorRow, error)
+	// EvacuatedDomain returns the failure domain whose evacuation a row of TableOperator
+	// asks for, or whose evacuation a row of TableStatus is about. It reports false for all
+	// other rows.
+	EvacuatedDomain(key string) (mesh.FailureDomain, bool)
+	// EncodeEvacuationStatus returns the row of TableStatus that shows operators the hosts
+	// that don't comply with an evacuation yet.
+	EncodeEvacuationStatus(domain mesh.FailureDomain, pending []mesh.HostID) (platform.Put, error)
 	// EncodeStatus returns the row of TableStatus that shows operators the state of a
 	// roll-out.
 	EncodeStatus(row rollout.Row) (platform.Put, error)
--- a/internal/sidecar/replica.go
+++ b/internal/sidecar/replica.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync"
@@ -18,6 +19,9 @@
 	// loaded is set once the whole table has been read. The revision cannot show this,
 	// because that of an empty store is zero.
 	loaded bool
+	// historyStart is the revision from which the copy has all removals. Rows that were
+	// removed before it are missing without a tombstone.
+	historyStart platform.Revision
 }
 
 func newReplica() *replica {
@@ -29,9 +33,13 @@
 func (r *replica) apply(changes []Change, revision platform.Revision) []Change {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.applyLocked(changes, revision)
+}
+
+func (r *replica) applyLocked(changes []Change, revision platform.Revision) []Change {
 	var applied []Change
 	for _, c := range changes {
-		if old, ok := r.rows[c.Key]; ok && old.Revision >= c.Revision {
+		if old, ok := r.rows[c.Key]; ok && old.Revision >= c.Revision || c.Revision.Era() < r.revision.Era() {
 			continue
 		}
 		r.rows[c.Key] = c
@@ -42,7 +50,40 @@
 	return applied
 }
 
-// changesSince returns the changes after a revision to the selected rows, and the revision
+// applyState applies the complete state of the selected rows. It returns the copy's earlier
+// revision, the changes that were newer than the copy's rows, and the selected rows of
+// earlier eras that the state lacks, which are removed, or has with another value. ok is
+// false if the state itself is of an earlier era.
+func (r *replica) applyState(state []Change, revision platform.Revision, selected func(key string) bool) (before platform.Revision, applied, lost []Change, ok bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	before = r.revision
+	if revision.Era() < before.Era() {
+		return before, nil, nil, false
+	}
+	values := make(map[string][]byte, len(state))
+	for _, c := range state {
+		if !c.Deleted {
+			values[c.Key] = c.Value
+		}
+	}
+	for key, c := range r.rows {
+		if c.Revision.Era() >= revision.Era() || !selected(key) {
+			continue
+		}
+		value, found := values[key]
+		if !found {
+			delete(r.rows, key)
+			delete(r.packed, key)
+		}
+		if !found || !bytes.Equal(value, c.Value) {
+			lost = append(lost, c)
+		}
+	}
+	return before, r.applyLocked(state, revision), lost, true
+}
+
+// changesSince returns the changes after a revision to the selected rows of the copy's era, and the revision
 // up to which the copy has all changes.
 func (r *replica) changesSince(after platform.Revision, selected func(key string) bool) ([]Packed, platform.Revision, error) {
 	r.mu.Lock()
@@ -52,7 +93,7 @@
 	}
 	var out []Packed
 	for key, c := range r.rows {
-		if c.Revision <= after || !selected(key) {
+		if c.Revision <= after || c.Revision.Era() < r.revision.Era() || !selected(key) {
 			continue
 		}
 		p, ok := r.packed[key]
@@ -88,12 +129,79 @@
 	return r.revision
 }
 
-// row returns the row of a key. Its revision is zero if it doesn't exist.
+// has reports whether the copy knows of a row or its removal in its era.
+func (r *replica) has(key string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c, ok := r.rows[key]
+	return ok && c.Revision.Era() >= r.revision.Era()
+}
+
+// row returns the row of a key. If it doesn't exist in the copy's era, the version of its
+// revision is zero.
 func (r *replica) row(key string) platform.Row {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if c, ok := r.rows[key]; ok && !c.Deleted {
+	if c, ok := r.rows[key]; ok && !c.Deleted && c.Revision.Era() >= r.revision.Era() {
 		return c.Row
 	}
-	return platform.Row{Key: key}
+	return platform.Row{Key: key, Revision: platform.NewRevision(r.revision.Era(), 0)}
+}
+
+// rowKeys returns the keys of rows.
+func rowKeys(rows []platform.Row) []string {
+	keys := make([]string, 0, len(rows))
+	for _, r := range rows {
+		keys = append(keys, r.Key)
+	}
+	return keys
+}
+
+// removedBefore returns removals, as of a revision, of the rows that the copy has and that a
+// complete list of the keys at that revision lacks.
+func (r *replica) removedBefore(revision platform.Revision, keys []string) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var removed []Change
+	for key, c := range r.rows {
+		if !c.Deleted && c.Revision <= revision && !slices.Contains(keys, key) {
+			removed = append(removed, Change{Row: platform.Row{Key: key, Revision: revision}, Deleted: true})
+		}
+	}
+	return removed
+}
+
+// addRemovals appends to changes the removals of the operator's rows that a complete list
+// of the keys at a revision lacks. After a change of the era, applyState finds them, because
+// the store may have lost rows that are still in force.
+func (n *Node) addRemovals(changes []Change, revision platform.Revision, keys []string) []Change {
+	r := n.replicas[TableOperator]
+	if revision.Era() > r.completeRevision().Era() {
+		return changes
+	}
+	return append(changes, r.removedBefore(revision, keys)...)
+}
+
+// setHistoryStart records that the copy has all removals only from a revision on.
+func (r *replica) setHistoryStart(revision platform.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.historyStart = max(r.historyStart, revision)
+}
+
+// historyFor returns what a peer needs whose copy has all changes up to a revision: if this
+// copy may lack removals after that revision, complete is set and keys lists all existing
+// rows. It also returns the revision from which this copy has all removals.
+func (r *replica) historyFor(after platform.Revision) (keys []string, complete bool, start platform.Revision) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if after >= r.historyStart {
+		return nil, false, r.historyStart
+	}
+	for key, c := range r.rows {
+		if !c.Deleted {
+			keys = append(keys, key)
+		}
+	}
+	return keys, true, r.historyStart
 }
--- a/internal/sidecar/settings.go
+++ b/internal/sidecar/settings.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/retry"
+	"github.com/chicoryscale/chicoryscale/internal/warmup"
 )
 
 // Settings are the settings of the process, as read from the platform's settings file.
@@ -40,11 +42,22 @@
 	GracePeriod time.Duration
 	// Repeats is the retry budget. It covers the attempts of all nodes together.
 	Repeats retry.WindowBudget
+	// Warmup bounds the requests that a cold instance may receive.
+	Warmup warmup.Bounds
+	// Quota states by how much tenants may exceed their quotas.
+	Quota quota.Bounds
+	// WorkAware makes placement and the gate use the predicted work of each request.
+	WorkAware bool
 	// LinkMbps is the bandwidth of the host's link in Mbit/s.
 	LinkMbps int
 	// MemoryBytes is the memory that the process may use. If zero,
 	// defaultMemoryBytes applies.
 	MemoryBytes int
+	// FileDescriptors is the number of descriptors that the process may have open. If
+	// zero, defaultFileDescriptors applies.
+	FileDescriptors int
+	// Clients bounds what clients may hold.
+	Clients ClientSettings
 }
 
 const (
@@ -53,6 +66,10 @@
 	// bodyMemoryFraction is the fraction of the memory for request and answer bodies.
 	// Growing buffers and the garbage of earlier ones take as much again.
 	bodyMemoryFraction = 0.125
+	// largeBodyFraction is the fraction of the memory that one body at a time may take
+	// in addition. On the smallest host, of 184 MB, it admits a body of 64 MB, the usual
+	// limit of configurations.
+	largeBodyFraction = 0.36
 	// heapLimitFraction is the fraction of the memory that becomes the soft limit of
 	// the Go runtime, near which the garbage collector runs as often as necessary.
 	// The rest is left for stacks and the kernel's buffers.
@@ -66,5 +83,8 @@
 // BodyMemoryBytes returns the memory budget for request and answer bodies.
 func (s *Settings) BodyMemoryBytes() int { return int(bodyMemoryFraction * s.memory()) }
 
+// LargeBodyBytes returns the size up to which one body at a time may exceed the budget.
+func (s *Settings) LargeBodyBytes() int { return int(largeBodyFraction * s.memory()) }
+
 // HeapBytes returns the soft memory limit for the Go runtime.
 func (s *Settings) HeapBytes() int64 { return int64(heapLimitFraction * s.memory()) }
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -14,10 +14,12 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
 	"github.com/chicoryscale/chicoryscale/internal/egress"
 	"github.com/chicoryscale/chicoryscale/internal/membudget"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
+	"github.com/chicoryscale/chicoryscale/internal/quota"
 	"github.com/chicoryscale/chicoryscale/internal/upstream"
 )
 
@@ -41,8 +43,9 @@
 	log        *Log
 	metrics    *metrics
 	ioCounters ioCounters
-	started    time.Time     // with a monotonic clock reading
-	startTime  mesh.Time     // wall-clock time of started; later times add the monotonic clock
+	started    time.Time // with a monotonic clock reading
+	clock      clock
+	startTime  mesh.Time     // wall-clock time of started; later times add the time of clock
 	nextID     atomic.Uint64 // latest mesh.CallID given out
 
 	mu      sync.Mutex
@@ -55,11 +58,16 @@
 
 	peers         *peerSet
 	replicas      [2]*replica   // by Table
+	hostRevisions hostRevisions // of the operator's rows
 	announceDue   chan struct{} // signalled when this host's record has changed and its row may have to be written
 	notifyDue     chan struct{} // signalled when this host's record has changed and the readers of the store are to be notified
 	rolloutWrites chan rolloutWrite
+	quotaWrites   chan quota.RowWrite
 	// stateChanged wakes the long polls of the nodes that follow this one.
 	stateChanged broadcast
+	lostRows     lostRows
+	// eraChanged wakes the reader of the shared rows.
+	eraChanged broadcast
 	// following is set while this node follows a reader.
 	following atomic.Bool
 	// foundHostsAt is the time, in ns since the start, at which a full read of the
@@ -77,10 +85,13 @@
 	instancePool *upstream.Pool
 	link         *egress.Link
 	bodyMemory   *membudget.Budget // of request and answer bodies held in memory
+	limits       limits
+	guard        *clientlimit.Guard // of the connections that others open to this node
 
 	lastCallAt       atomic.Int64 // time of the latest client request, in ns since the start
 	membersChangedAt atomic.Int64 // time of the latest change of a member, in ns since the start
 	inFlight         atomic.Int64
+	running          atomic.Int64 // client requests that wait for their answers
 	stopping         atomic.Bool
 	listeners        []net.Listener
 }
@@ -92,19 +103,30 @@
 		callEffects: make(map[mesh.CallID]chan proxy.CallEffect), gateEffects: make(map[mesh.CallID]chan proxy.GateEffect),
 		hostPools: make(map[string]*upstream.Pool), announceDue: make(chan struct{}, 1), notifyDue: make(chan struct{}, 1), rolloutWrites: make(chan rolloutWrite, rolloutQueueLen),
 	}
+	var err error
+	if n.clock, err = newClock(); err != nil {
+		return nil, err
+	}
+	n.quotaWrites = make(chan quota.RowWrite, 1)
 	n.startTime = mesh.Time(n.started.UnixNano())
+	n.limits = s.limits(kernelDescriptors())
+	n.guard = n.newGuard()
 	n.bodyMemory = membudget.New(s.BodyMemoryBytes())
+	n.bodyMemory.AllowLarge(s.LargeBodyBytes())
+	n.bodyMemory.SetReclaim(n.guard.Reclaim)
 	n.hostOpts = hostOptions(n.bodyMemory)
+	n.hostOpts.MaxConns = n.limits.perHost
 	n.link = egress.NewLink(s.LinkMbps)
-	n.instancePool = upstream.NewPool(s.InstanceAddr, instanceOptions(n.headers.Identity, n.bodyMemory))
+	instanceOpts := instanceOptions(n.headers.Identity, n.bodyMemory)
+	instanceOpts.MaxConns = n.limits.instance
+	n.instancePool = upstream.NewPool(s.InstanceAddr, instanceOpts)
 	n.replicas = [2]*replica{newReplica(), newReplica()}
 	n.peers = newPeerSet(n)
 	n.reducer = proxy.New(n.now(), proxy.Settings{
 		Host: s.Host, Domain: s.Domain, ForwardAddr: cmp.Or(s.AdvertisedForward, s.ForwardAddr),
 		PeerAddr: cmp.Or(s.AdvertisedPeer, s.PeerAddr), LinkMbps: s.LinkMbps, Service: s.Service,
-		Incarnation: mesh.Incarnation(n.startTime), Repeats: s.Repeats,
+		Incarnation: mesh.Incarnation(n.startTime), Repeats: s.Repeats, Warmup: s.Warmup, Quota: s.Quota, WorkAware: s.WorkAware,
 	})
-	var err error
 	n.metrics, err = newMetrics(n)
 	return n, err
 }
@@ -127,9 +149,8 @@
 	}
 }
 
-// now returns the time for the reducer. It advances with the monotonic clock, so that a
-// jump of the wall clock does not shift timeouts.
-func (n *Node) now() mesh.Time { return n.startTime.Add(time.Since(n.started)) }
+// now returns the time for the reducer. A jump of the wall clock does not shift timeouts.
+func (n *Node) now() mesh.Time { return n.startTime.Add(n.clock.elapsed()) }
 
 // step passes one event to the reducer and executes the resulting effects.
 func (n *Node) step(ev proxy.Event) {
@@ -164,6 +185,15 @@
 	for i := range n.effects.Writes {
 		n.queueRolloutWrite(n.effects.Writes[i])
 	}
+	for i := range n.effects.QuotaQuestions {
+		n.peers.sendQuotaQuestion(n.effects.QuotaQuestions[i])
+	}
+	for i := range n.effects.QuotaReports {
+		n.peers.sendQuotaReport(n.effects.QuotaReports[i])
+	}
+	for i := range n.effects.QuotaWrites {
+		n.queueQuotaWrite(n.effects.QuotaWrites[i])
+	}
 	for _, host := range n.effects.Removals {
 		go n.removeRow(context.Background(), host)
 	}
@@ -253,12 +283,16 @@
 func (n *Node) startLoops(ctx context.Context) {
 	go n.runEvery(ctx, tickInterval, func() { n.step(proxy.Tick{}) })
 	go n.runEvery(ctx, trimInterval, n.trimPools)
+	go n.runEvery(ctx, trimInterval, n.expireLostRows)
+	go n.runEvery(ctx, trimInterval, func() { n.guard.Sweep(time.Now()) })
 	go n.syncTable(ctx, TableOperator)
 	go n.syncTable(ctx, TableShared)
 	go n.followReader(ctx)
 	go n.announce(ctx)
 	go n.notifyReaders(ctx)
 	go n.writeRollouts(ctx)
+	go n.writeQuotaRows(ctx)
+	go n.writeEvacuationStatus(ctx)
 	go n.gossip(ctx)
 }
 
--- a/internal/sidecar/tablesync.go
+++ b/internal/sidecar/tablesync.go
@@ -1,9 +1,11 @@
 package sidecar
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -39,6 +41,9 @@
 	// from its row, which the readers read from the store and the other nodes get from
 	// their peers.
 	rolloutPause = 300 * time.Millisecond
+	// quotaPause replaces sharedPause while tenants have quotas, so that the hosts learn of
+	// a new coordinator before their shares expire.
+	quotaPause = time.Second
 	// aloneTimeout is the time since the start after which a node that has found no
 	// other host assumes that it is the only one. Hosts that started at the same time
 	// should have announced themselves by then.
@@ -74,6 +79,8 @@
 	// rows. alive is set while calls to the store about the table succeed.
 	alive, incomplete := false, false
 	backoff := storeBackoff
+	// after is the revision up to which this node has read the table itself. If the era of
+	// the replica is later, the replica got it from a peer, which sends only some rows.
 	var after platform.Revision
 	for ctx.Err() == nil {
 		if !n.shouldRead(t) {
@@ -86,14 +93,14 @@
 			continue
 		}
 		var err error
-		if incomplete || !n.replicas[t].isLoaded() {
+		if incomplete || !n.replicas[t].isLoaded() || n.replicas[t].completeRevision().Era() > after.Era() {
 			after, err = n.loadTable(ctx, t)
 		} else {
 			after, err = n.pollChanges(ctx, t, max(after, n.replicas[t].completeRevision()), wait)
 		}
 		if errorx.IsOfType(err, ErrHistoryLost) {
 			incomplete = true
-			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", uint64(after))
+			n.log.Line(time.Now(), "store.history_lost", "table", int(t), "after", after)
 			continue
 		}
 		incomplete = incomplete && err != nil
@@ -109,7 +116,7 @@
 		}
 		backoff = storeBackoff
 		if t == TableShared {
-			pause(ctx, n.sharedRowsPause())
+			n.pauseSharedReads(ctx)
 		}
 	}
 }
@@ -145,13 +152,15 @@
 // sharedRowsPause returns the pause after a read of the shared rows. Because of the pause,
 // rows of many hosts that change at about the same time are read with few calls.
 func (n *Node) sharedRowsPause() time.Duration {
-	alone, rollingOut := false, false
-	n.inspect(func(r *proxy.Node) { alone, rollingOut = r.Alone(), r.RollingOut() })
+	alone, rollingOut, quotas := false, false, false
+	n.inspect(func(r *proxy.Node) { alone, rollingOut, quotas = r.Alone(), r.RollingOut(), r.HasQuotas() })
 	switch {
 	case alone:
 		return alonePause
 	case rollingOut:
 		return rolloutPause
+	case quotas:
+		return quotaPause
 	}
 	return sharedPause
 }
@@ -193,7 +202,13 @@
 	for _, r := range rows {
 		changes = append(changes, Change{Row: r})
 	}
-	n.applyChanges(t, changes, revision)
+	if t == TableOperator {
+		changes = n.addRemovals(changes, revision, rowKeys(rows))
+		n.replicas[t].setHistoryStart(revision) // before peers can see the new revision
+	}
+	if !n.applyState(t, changes, revision, allRows) {
+		return 0, ErrStore.New("the store answered with era %d after a later one", revision.Era())
+	}
 	n.replicas[t].setLoaded()
 	alone := true
 	n.inspect(func(r *proxy.Node) { alone = r.Alone() })
@@ -220,10 +235,17 @@
 // applyChanges applies changes to the replica of a table. Those that are newer than the
 // replica's rows are passed on to the reducer.
 func (n *Node) applyChanges(t Table, changes []Change, revision platform.Revision) {
-	applied := n.replicas[t].apply(changes, revision)
+	n.deliver(t, n.replicas[t].apply(changes, revision))
+}
+
+// deliver passes changes of a table on to the reducer.
+func (n *Node) deliver(t Table, applied []Change) {
 	if len(applied) > 0 {
 		defer n.stateChanged.wake()
 	}
+	if t == TableOperator {
+		n.evacuationsFirst(applied)
+	}
 	for _, c := range applied {
 		if t == TableOperator {
 			n.applyOperatorRow(c)
@@ -233,14 +255,30 @@
 	}
 }
 
+// evacuationsFirst moves evacuations before other changes. With the configuration, the node
+// begins to send requests and opens its gate.
+func (n *Node) evacuationsFirst(changes []Change) {
+	order := func(c Change) int {
+		if _, ok := n.platform.EvacuatedDomain(c.Key); ok {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int { return cmp.Compare(order(a), order(b)) })
+}
+
 func (n *Node) applyOperatorRow(c Change) {
+	if domain, ok := n.platform.EvacuatedDomain(c.Key); ok {
+		n.step(proxy.EvacuationSeen{Domain: domain, Revision: uint64(c.Revision), Removed: c.Deleted})
+		return
+	}
 	if c.Deleted {
 		return // a configuration or an order of a roll-out stays in force until it is replaced by another
 	}
 	row, err := n.platform.DecodeOperatorRow(c.Row)
 	switch {
 	case err != nil:
-		n.log.Line(time.Now(), "operator.row_unreadable", "key", c.Key, "revision", uint64(c.Revision), "error", err.Error())
+		n.log.Line(time.Now(), "operator.row_unreadable", "key", c.Key, "revision", c.Revision, "error", err.Error())
 	case row.Configuration != nil:
 		n.step(proxy.ConfigurationSeen{Snapshot: row.Configuration})
 	case row.Order != nil:
@@ -253,6 +291,10 @@
 		n.applyMemberRow(mesh.HostID(host), c)
 		return
 	}
+	if c.Key == quotaRowKey {
+		n.applyQuotaRow(c)
+		return
+	}
 	service, ok := strings.CutPrefix(c.Key, rolloutPrefix)
 	if !ok || c.Deleted {
 		return
@@ -262,7 +304,7 @@
 		n.log.Line(time.Now(), "store.row_unreadable", "key", c.Key, "error", errorText(err))
 		row = rollout.Row{Service: mesh.Service(service)} // invalid; the driver replaces it
 	}
-	row.Revision = uint64(c.Revision)
+	row.Revision = c.Revision
 	n.step(proxy.RolloutSeen{Row: row})
 }
 
