--- a/internal/sidecar/gate_test.go
+++ b/internal/sidecar/gate_test.go
@@ -20,7 +20,7 @@
 func (namedHeaders) Headers() *Headers {
 	return &Headers{
 		Identity: "X-Identity", DeadlineMillis: "X-Deadline", Signature: "X-Signature", Expected: "X-Expected",
-		NotRun: "X-Not-Run", Caller: "X-Caller", RetryAfter: "Retry-After", Instance: "X-Instance", Key: "X-Key", Tenant: "X-Tenant",
+		NotRun: "X-Not-Run", Caller: "X-Caller", RetryAfter: "Retry-After", Instance: "X-Instance", Key: "X-Key", Tenant: "X-Customer",
 	}
 }
 
--- a/internal/sidecar/headers_test.go
+++ b/internal/sidecar/headers_test.go
@@ -115,8 +115,8 @@
 	is := is.New(t)
 	n, err := New(Settings{Host: "a"}, namedHeaders{}, NewLog(io.Discard))
 	is.NoErr(err)
-	for tenant, want := range map[mesh.Tenant]http.Header{"one": {"X-Tenant": {"one"}}, "": {}} {
-		h := http.Header{"X-Key": {"secret", "second"}, "X-Tenant": {"forged"}}
+	for tenant, want := range map[mesh.Tenant]http.Header{"one": {"X-Customer": {"one"}}, "": {}} {
+		h := http.Header{"X-Key": {"secret", "second"}, "X-Customer": {"forged"}}
 		n.setTenant(h, tenant)
 		is.Equal(h, want)
 	}
