Call the hosts that admit requests of a quota token servers

Cause: accountant and question aren't terms of the field. Measured: vet, staticcheck, and the tests of internal/proxy, sidecar and quota pass.

--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -146,7 +146,7 @@
 }
 
 // beginCall starts a request at a node that has a configuration. waited is set if it has
-// waited for the accountant of its tenant.
+// waited for the token server of its tenant.
 func (n *Node) beginCall(s *step, e CallArrived, waited *waitingCall) {
 	route := n.config.Match(e.Host, e.Path)
 	if route == nil {
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -236,10 +236,10 @@
 	QuotaReports []QuotaReport
 	QuotaWrites  []quota.RowWrite
 	QuotaGrant   quota.Grant
-	// QuotaQuestions are questions to accountants, and QuotaAnswer is the answer to a
-	// QuotaAsked.
-	QuotaQuestions []AddressedQuestion
-	QuotaAnswer    QuotaAnswer
+	// TokenRequests are requests for tokens to token servers, and TokenAnswer is the answer to a
+	// TokensRequested.
+	TokenRequests []AddressedTokenRequest
+	TokenAnswer   TokenAnswer
 	// Removals are hosts whose rows are to be removed.
 	Removals []mesh.HostID
 	// Announce is set when the record of this host has changed and is to be published.
@@ -253,7 +253,7 @@
 func (r *Ready) Reset() {
 	r.Calls, r.Gates, r.LogRecords = r.Calls[:0], r.Gates[:0], r.LogRecords[:0]
 	r.Checks, r.Probes, r.Evidence, r.Writes = r.Checks[:0], r.Probes[:0], r.Evidence[:0], r.Writes[:0]
-	r.QuotaQuestions, r.QuotaAnswer = r.QuotaQuestions[:0], QuotaAnswer{}
+	r.TokenRequests, r.TokenAnswer = r.TokenRequests[:0], TokenAnswer{}
 	r.QuotaReports, r.QuotaWrites, r.QuotaGrant = r.QuotaReports[:0], r.QuotaWrites[:0], quota.Grant{}
 	r.Removals, r.Announce, r.MembersChanged = r.Removals[:0], false, false
 }
--- a/internal/proxy/members.go
+++ b/internal/proxy/members.go
@@ -258,7 +258,7 @@
 	n.firstAnnounced = seen
 	n.table.SetInstances(list)
 	n.updateShares()
-	n.updateAccountants(s.now)
+	n.updateTokenServers(s.now)
 }
 
 // Alone reports whether no other host is known.
--- a/internal/proxy/node.go
+++ b/internal/proxy/node.go
@@ -74,16 +74,16 @@
 	quota        *quota.Node
 	quotaEffects quota.Effects // of the current step; reused
 	// waitingCalls are requests that wait for a share of their tenant's quota, oldest first.
-	waitingCalls         []waitingCall
-	accountantHosts      []mesh.HostID // of this failure domain
-	accountantsChangedAt mesh.Time
-	holderCount          int // accountants of all failure domains
-	nextBaseCheck        mesh.Time
-	accountants          map[mesh.HostID]*accountant
-	calls                map[mesh.CallID]*call
-	gateCalls            map[mesh.CallID]*gateCall
-	gateEffects          []admission.Effect
-	warmup               *warmup.Limiter // of the instance on this host
+	waitingCalls          []waitingCall
+	tokenServerHosts      []mesh.HostID // of this failure domain
+	tokenServersChangedAt mesh.Time
+	holderCount           int // token servers of all failure domains
+	nextBaseCheck         mesh.Time
+	tokenServers          map[mesh.HostID]*tokenServer
+	calls                 map[mesh.CallID]*call
+	gateCalls             map[mesh.CallID]*gateCall
+	gateEffects           []admission.Effect
+	warmup                *warmup.Limiter // of the instance on this host
 	// loggedWarmUp is the state of the instance in the newest log line about it.
 	loggedWarmUp warmup.State
 	evacuations  map[mesh.FailureDomain]evacuation
@@ -125,7 +125,7 @@
 		settings:       s,
 		table:          placement.New(s.Domain),
 		gate:           admission.New(admission.Limits{QueuePerSlot: queuePerSlot, InitialServiceTime: initialServiceTime}),
-		accountants:    make(map[mesh.HostID]*accountant),
+		tokenServers:   make(map[mesh.HostID]*tokenServer),
 		evacuations:    make(map[mesh.FailureDomain]evacuation),
 		warmup:         warmup.New(now, s.Warmup),
 		poison:         poison.New(),
@@ -143,7 +143,7 @@
 		started:        now,
 		quota:          quota.NewNode(now, s.Host, s.Incarnation, cmp.Or(s.Quota, quota.DefaultBounds)),
 	}
-	n.quota.SetResponsible(func(tenant mesh.Tenant) bool { return n.accountantOf(tenant) == s.Host })
+	n.quota.SetResponsible(func(tenant mesh.Tenant) bool { return n.tokenServerOf(tenant) == s.Host })
 	if s.WorkAware {
 		n.work = workcost.New()
 	}
--- a/internal/proxy/quota.go
+++ b/internal/proxy/quota.go
@@ -21,25 +21,25 @@
 	noShareRetryAfter = 500 * time.Millisecond
 )
 
-// waitingCall is a request that waits for the answer of its tenant's accountant.
+// waitingCall is a request that waits for the answer of its tenant's token server.
 type waitingCall struct {
 	CallArrived
-	tenant     *catalog.Tenant
-	accountant mesh.HostID
-	since      mesh.Time // arrival of the request
-	checked    mesh.Time // time of the latest decision, from which Budget counts
-	asked      bool      // the accountant has been asked for the request
-	inQuestion bool      // the question in progress includes the request
-	admitted   bool      // the accountant has admitted the request
-	notBefore  mesh.Time // time at which a token is expected
-	refused    bool      // the accountant had no token at the latest question
+	tenant    *catalog.Tenant
+	server    mesh.HostID
+	since     mesh.Time // arrival of the request
+	checked   mesh.Time // time of the latest decision, from which Budget counts
+	asked     bool      // the token server has been asked to admit the call
+	inRequest bool      // the token request in progress includes the call
+	admitted  bool      // the token server has admitted the call
+	notBefore mesh.Time // time at which a token is expected
+	refused   bool      // the token server had no token for the call
 }
 
 // quotaCharge is the charge of a call to its tenant's quota: to a bucket of this host, or to
-// one of another host, the accountant. The zero value stands for none.
+// one of another host, the token server. The zero value stands for none.
 type quotaCharge struct {
-	local      quota.Charge
-	accountant mesh.HostID
+	local  quota.Charge
+	server mesh.HostID
 }
 
 // QuotaReport is a report to be sent to the coordinator of the quotas.
@@ -59,7 +59,7 @@
 type QuotaRowSeen struct{ Row quota.Row }
 
 // admitToQuota decides whether a request is within the quota of its tenant. If not, it is
-// rejected or waits for the answer of the tenant's accountant. w is set for a request that
+// rejected or waits for the answer of the tenant's token server. w is set for a request that
 // has waited.
 func (n *Node) admitToQuota(s *step, e *CallArrived, tenant *catalog.Tenant, w *waitingCall) (quotaCharge, bool) {
 	if tenant == nil || !tenant.Quota.Limited() {
@@ -68,11 +68,11 @@
 	if w == nil {
 		w = &waitingCall{CallArrived: *e, tenant: tenant, since: s.now}
 	} else if w.admitted {
-		return quotaCharge{accountant: w.accountant}, true
+		return quotaCharge{server: w.server}, true
 	}
-	host := n.accountantOf(tenant.Name)
-	if w.accountant != host {
-		w.accountant, w.inQuestion = host, false
+	host := n.tokenServerOf(tenant.Name)
+	if w.server != host {
+		w.server, w.inRequest = host, false
 	}
 	w.tenant, w.checked = tenant, s.now
 	lastCheck := s.now.Sub(w.since) >= w.waitTime()
@@ -127,15 +127,15 @@
 	return now.Sub(w.since)+d < w.waitTime()
 }
 
-// await lets a request wait for its accountant.
+// await lets a request wait for its token server.
 func (n *Node) await(s *step, w *waitingCall) {
 	if len(n.waitingCalls) >= maxWaitingCalls {
 		n.rejectWithoutShare(s, w.Call)
 		return
 	}
 	n.waitingCalls = append(n.waitingCalls, *w)
-	if w.accountant != n.settings.Host {
-		n.ask(s, w.accountant)
+	if w.server != n.settings.Host {
+		n.requestTokens(s, w.server)
 	}
 }
 
@@ -166,10 +166,10 @@
 func (n *Node) endCharge(s *step, c *call, ran bool) {
 	switch {
 	case c.charge == quotaCharge{}:
-	case c.charge.accountant == "":
+	case c.charge.server == "":
 		n.quota.End(s.now, c.charge.local, ran)
 	case !ran:
-		n.returnToken(c.charge.accountant, c.tenant)
+		n.returnToken(c.charge.server, c.tenant)
 	}
 }
 
@@ -186,7 +186,7 @@
 
 // possibleHolders returns the hosts that may hold shares: those with the largest links of
 // each failure domain, reachable or not, and any host whose link is as large as that of a
-// current accountant.
+// current token server.
 func (n *Node) possibleHolders() []mesh.HostID {
 	least := make(map[mesh.FailureDomain]int)
 	for _, m := range n.members {
@@ -194,7 +194,7 @@
 			continue
 		}
 		least[m.Domain] = 0
-		if hosts := n.accountantsIn(m.Domain); len(hosts) > 0 {
+		if hosts := n.tokenServersIn(m.Domain); len(hosts) > 0 {
 			least[m.Domain] = n.members[hosts[0]].LinkMbps
 		}
 	}
--- a/internal/proxy/quota_test.go
+++ b/internal/proxy/quota_test.go
@@ -12,7 +12,7 @@
 )
 
 // withQuota applies a configuration in which the key "k" belongs to a tenant with a
-// quota. The node has the largest link of its domain, so that it is the accountant.
+// quota. The node has the largest link of its domain, so that it is the token server.
 func (tn *testNode) withQuota(q catalog.Quota) *testNode {
 	tn.node.self.LinkMbps = 1000
 	tn.node.setRecord(tn.node.members["h0"], &tn.node.self)
--- a/internal/quota/service_test.go
+++ b/internal/quota/service_test.go
@@ -83,9 +83,9 @@
 	}
 }
 
-// Guards against accountants that get no share for many seconds when all clients of a
+// Guards against token servers that get no share for many seconds when all clients of a
 // deployment begin at once, because the shares and bonuses of the first ones leave nothing.
-func TestManyAccountantsBeginAtOnce(t *testing.T) {
+func TestManyTokenServersBeginAtOnce(t *testing.T) {
 	is := is.New(t)
 	tenants := []catalog.Tenant{{Name: "large", Quota: catalog.Quota{RatePerSecond: 600, Burst: 600}}}
 	on := map[mesh.Tenant]int{"large": 12}
--- a/internal/quota/types.go
+++ b/internal/quota/types.go
@@ -50,7 +50,7 @@
 }
 
 // baseFraction is the fraction of a limit that is divided equally among the failure domains
-// for good. Each tenant's accountant holds the base of its domain without a grant, so that
+// for good. Each tenant's token server holds the base of its domain without a grant, so that
 // tenants are served while there is no coordinator, as in a cut or after a restart of all.
 const baseFraction = 0.6
 
--- a/internal/sidecar/quota.go
+++ b/internal/sidecar/quota.go
@@ -15,9 +15,9 @@
 
 const (
 	// quotaRowKey is the key of the row of the quotas' coordinator in TableShared.
-	quotaRowKey = "quota/coordinator"
-	methodQuota = peerService + ".Quota"
-	methodAdmit = peerService + ".Admit"
+	quotaRowKey  = "quota/coordinator"
+	methodQuota  = peerService + ".Quota"
+	methodTokens = peerService + ".Admit"
 )
 
 // Quota answers the report of a host. The answer is empty if this host isn't the
@@ -49,24 +49,24 @@
 	}()
 }
 
-// Admit answers the question of a host of this failure domain for the admission of requests.
-func (s *PeerService) Admit(q proxy.QuotaQuestion, out *proxy.QuotaAnswer) error {
+// Admit answers the request of a host of this failure domain for the admission of requests.
+func (s *PeerService) Admit(q proxy.TokenRequest, out *proxy.TokenAnswer) error {
 	n := s.node
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.effects.Reset()
-	n.reducer.Step(n.now(), rand.Uint64(), proxy.QuotaAsked{Question: q}, &n.effects)
+	n.reducer.Step(n.now(), rand.Uint64(), proxy.TokensRequested{Request: q}, &n.effects)
 	n.executeEffects()
-	*out = n.effects.QuotaAnswer
+	*out = n.effects.TokenAnswer
 	return nil
 }
 
-// sendQuotaQuestion sends a question to an accountant and applies the answer.
-func (p *peerSet) sendQuotaQuestion(q proxy.AddressedQuestion) {
+// sendTokenRequest sends a request to a token server and applies the answer.
+func (p *peerSet) sendTokenRequest(q proxy.AddressedTokenRequest) {
 	go func() {
-		answered := proxy.QuotaAnswered{From: q.To, Sequence: q.Sequence}
-		if err := p.call(q.Addr, methodAdmit, q.Question, &answered.Answer, proxy.AskTimeout); err != nil {
-			p.node.log.Line(time.Now(), "quota.ask_failed", "accountant", string(q.To), "error", err.Error())
+		answered := proxy.TokensAnswered{From: q.To, Sequence: q.Sequence}
+		if err := p.call(q.Addr, methodTokens, q.Request, &answered.Answer, proxy.TokenRequestTimeout); err != nil {
+			p.node.log.Line(time.Now(), "quota.token_request_failed", "token_server", string(q.To), "error", err.Error())
 			answered.Failed = true
 		}
 		p.node.step(answered)
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -185,8 +185,8 @@
 	for i := range n.effects.Writes {
 		n.queueRolloutWrite(n.effects.Writes[i])
 	}
-	for i := range n.effects.QuotaQuestions {
-		n.peers.sendQuotaQuestion(n.effects.QuotaQuestions[i])
+	for i := range n.effects.TokenRequests {
+		n.peers.sendTokenRequest(n.effects.TokenRequests[i])
 	}
 	for i := range n.effects.QuotaReports {
 		n.peers.sendQuotaReport(n.effects.QuotaReports[i])
