--- a/internal/egress/egress_test.go
+++ b/internal/egress/egress_test.go
@@ -113,7 +113,7 @@
 	go func() {
 		done <- l.Send(t.Context(), blocked, NewBytes(content), func() error { return nil })
 	}()
-	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(10 * time.Second); ; time.Sleep(time.Millisecond) { // nothing signals that the send has begun
 		l.mu.Lock()
 		sending := l.sending
 		l.mu.Unlock()
--- a/internal/sidecar/quota_test.go
+++ b/internal/sidecar/quota_test.go
@@ -60,7 +60,7 @@
 	go coordinator.writeQuotaRows(t.Context())
 	coordinator.step(proxy.StoreState{Loaded: true, Alive: true})
 	coordinator.step(proxy.Tick{})
-	for term := uint64(0); term == 0; time.Sleep(time.Millisecond) {
+	for term := uint64(0); term == 0; time.Sleep(time.Millisecond) { // nothing signals the begin of the term
 		coordinator.inspect(func(r *proxy.Node) { term = r.HeldQuotaTerm() })
 	}
 	host := quotaNode(t, "a", "127.0.0.1:2", store)
