--- a/review/_stand2/main.go
+++ b/review/_stand2/main.go
@@ -20,6 +20,7 @@
 	"slow-rollout":   slowRollout,
 	"pipelined":      pipelined,
 	"long-ids":       longIDs,
+	"options":        connectionOptions,
 }
 
 func main() {
