--- a/review/_stand2/longids.go
+++ b/review/_stand2/longids.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// smallMemoryMb is the memory of the smallest machines of the users' pages.
-	smallMemoryMb = 184
+	// smallMemoryMb and smallBandwidthMbps are those of the smallest machines of the users'
+	// pages.
+	smallMemoryMb      = 184
+	smallBandwidthMbps = 10
 	// restartPause is the time after which the platform starts an ended process again.
 	restartPause = 300 * time.Millisecond
 )
@@ -66,8 +68,8 @@
 // longIDs lets many clients send requests whose identifiers are long, in heads within the
 // limit of the configuration.
 func longIDs(w *world) verdict {
-	const headBytes, length = 16384, 60 * time.Second
-	w.memoryMb = smallMemoryMb
+	const headBytes, length = 16384, 40 * time.Second
+	w.memoryMb, w.bandwidthMbps = smallMemoryMb, smallBandwidthMbps
 	conns := 1000
 	if text := os.Getenv("CONNS"); text != "" {
 		conns, _ = strconv.Atoi(text)
@@ -92,11 +94,13 @@
 	}
 	until := time.Now().Add(length)
 	var sent, answered atomic.Int64
+	counts := [2]*statusCounts{newStatusCounts(), newStatusCounts()}
 	for i := range 2 {
+		guards.Go(func() { counts[i].record(w, w.hosts[i].name, stop) })
 		for range conns {
 			crowd.Go(func() {
 				for time.Now().Before(until) {
-					w.sendLong(w.hosts[i], headBytes, until, &sent, &answered)
+					w.sendLong(w.hosts[i], headBytes, until, &sent, &answered, counts[i])
 					time.Sleep(50 * time.Millisecond)
 				}
 			})
@@ -105,7 +109,7 @@
 	crowd.Wait()
 	close(stop)
 	guards.Wait()
-	w.log("crowd", "%d requests sent, %d answered", sent.Load(), answered.Load())
+	w.log("crowd", "%d requests sent, %d answered, %d run by instances", sent.Load(), answered.Load(), len(w.allRuns()))
 	text := fmt.Sprintf("two machines of four ended their process %d and %d times for memory over %d MB; the largest was %d and %d MB; %d requests of %d answered",
 		ends[0], ends[1], w.memoryMb, largest[0]>>20, largest[1]>>20, answered.Load(), sent.Load())
 	if ends[0] >= 3 && ends[1] >= 3 {
@@ -115,7 +119,7 @@
 }
 
 // sendLong sends requests on one connection until it is closed.
-func (w *world) sendLong(h *host, headBytes int, until time.Time, sent, answered *atomic.Int64) {
+func (w *world) sendLong(h *host, headBytes int, until time.Time, sent, answered *atomic.Int64, counts *statusCounts) {
 	c, err := net.DialTimeout("tcp", h.addr(portOutbound), time.Second)
 	if err != nil {
 		return
@@ -130,6 +134,7 @@
 		}
 		_ = c.SetDeadline(time.Now().Add(5 * time.Second))
 		sent.Add(1)
+		counts.add("sent")
 		if _, err := io.WriteString(c, head(http.MethodGet, "route.example", "/none/x", id, "", time.Second)); err != nil {
 			return
 		}
@@ -141,5 +146,36 @@
 			return
 		}
 		answered.Add(1)
+		counts.add(strconv.Itoa(resp.StatusCode))
+	}
+}
+
+// statusCounts counts what a crowd sends to a machine and the statuses of its answers. The
+// single requests are too many for the record.
+type statusCounts struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func newStatusCounts() *statusCounts { return &statusCounts{counts: make(map[string]int)} }
+
+func (s *statusCounts) add(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts[what]++
+}
+
+// record writes the counts of each second to the record.
+func (s *statusCounts) record(w *world, name string, stop <-chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Second):
+		}
+		s.mu.Lock()
+		w.log("crowd", "%s, in the last second, sent and answered by status: %v", name, s.counts)
+		clear(s.counts)
+		s.mu.Unlock()
 	}
 }
--- a/review/_stand2/options.go
+++ b/review/_stand2/options.go
@@ -101,6 +101,7 @@
 		text := head(http.MethodGet, "route.example", "/list/x", id, "", 2*time.Second)
 		_ = c.SetDeadline(time.Now().Add(20 * time.Second))
 		sent.Add(1)
+		w.log("crowd sent", "%s GET route.example/list/x to %s", id, h.name)
 		if _, err := io.WriteString(c, strings.TrimSuffix(text, "\r\n")+fields+"\r\n"); err != nil {
 			return
 		}
@@ -112,6 +113,7 @@
 			return
 		}
 		answered.Add(1)
+		w.log("crowd got", "%s status %d", id, resp.StatusCode)
 		time.Sleep(100 * time.Millisecond)
 	}
 }
--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -70,8 +70,8 @@
 	server  *http.Server
 	hosts   []*host
 	started time.Time
-	// memoryMb is the memory of each machine.
-	memoryMb int
+	// memoryMb and bandwidthMbps are the memory and the link of each machine.
+	memoryMb, bandwidthMbps int
 
 	closing sync.Once
 	mu      sync.Mutex
@@ -96,7 +96,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{program: program, trouble: trouble, dir: dir, store: standin.NewStore(), started: time.Now(), memoryMb: 284}
+	w := &world{program: program, trouble: trouble, dir: dir, store: standin.NewStore(), started: time.Now(), memoryMb: 284, bandwidthMbps: 1000}
 	for range 50 {
 		w.subnet = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), 1+rand.IntN(250))
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.250:%d", w.subnet, portStore))
@@ -203,7 +203,7 @@
 Cores = 1
 MemoryMb = %d
 FileDescriptors = 4100
-BandwidthMbps = 1000.0
+BandwidthMbps = %d.0
 DiskMb = 0
 [Tolerate]
 Machines = 2
@@ -223,7 +223,7 @@
 BlobMs = 25.0
 BlobMbPerS = 80.0
 `, h.name, h.ip, h.zone, portPeer, portPeer+15, heartbeat.Milliseconds(), h.addr(portInstance), h.service,
-		h.addr(portInbound), h.addr(portOutbound), h.addr(portReady), h.addr(portControl), w.memoryMb, w.subnet, portStore)
+		h.addr(portInbound), h.addr(portOutbound), h.addr(portReady), h.addr(portControl), w.memoryMb, w.bandwidthMbps, w.subnet, portStore)
 }
 
 // awaitReady waits until all nodes say that they are ready, and then for the stable window.
