Identify a request that crashes instances by its service and caller too

Cause: the fingerprint of a request was a hash of method, target and body. It left out the Host header, the service that runs the request, the calling service and the tenant, so that a conviction reached further than its evidence.

Change: poison.Request is the identity: service, calling service, tenant and the hash of host, method, target and body. The entry node forms the fingerprint once it knows the destination, and sends it to the gate. The choice of a split route's destination is separate from counting it, so that a request can be checked before its quota is. chicory-node had the same fault and uses the same identity.

--- a/internal/core/calls.go
+++ b/internal/core/calls.go
@@ -91,13 +91,14 @@
 		n.rejectEarly(in, mesh.ReasonDraining, out)
 		return
 	}
-	check := n.poison.Check(ev.Now, in.Fingerprint, poison.Suspicion{Crashes: in.Crashes})
+	fingerprint := poison.Request{Hash: in.Hash, Service: route.Service.Name}.Fingerprint()
+	check := n.poison.Check(ev.Now, fingerprint, poison.Suspicion{Crashes: in.Crashes})
 	if check.Verdict == poison.Convicted {
 		n.reject(in.Call, mesh.MayHaveRun, mesh.ReasonPoison, out)
 		return
 	}
 	c := n.newCall(in.Call)
-	c.route, c.fingerprint, c.crashes = route, in.Fingerprint, check.Suspicion.Crashes
+	c.route, c.fingerprint, c.crashes = route, fingerprint, check.Suspicion.Crashes
 	c.deadline = ev.Now.Add(callTimeout(in, &route.Class))
 	c.retry = n.retrier.Begin(route.Class.Name, c.deadline)
 	c.identified = !route.Class.Idempotent && len(in.RequestID) > 0
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -161,6 +161,37 @@
 	is.Equal(g.lookup("azrou-1", 50).Reason, mesh.ReasonPoison)
 }
 
+// Guards against a gate that refuses the calls of a service because the same request has
+// crashed backend servers of another service.
+func TestCrashesOfOneServiceBlockNoCallsToAnother(t *testing.T) {
+	is := is.New(t)
+	g := newReadyGroup(t)
+	n := g.nodes["ifrane-1"]
+	announce := func(service mesh.Service) {
+		g.step("ifrane-1", Event{Kind: KindAnnounced, Announcement: &Announcement{
+			Instance: mesh.InstanceID(service), Service: service, Version: "v1", Addr: "ifrane-1:1", Slots: 9, LeaseMillis: 600_000,
+		}})
+	}
+	step := func(ev Event) GateEffect {
+		ev.Now, ev.Seed = g.now, 1
+		var out Ready
+		n.Step(&ev, &out)
+		return out.Gates[0]
+	}
+	arrive := func(id mesh.CallID, service mesh.Service) GateEffect {
+		return step(Event{Kind: KindGateArrived, Gate: GateArrived{Call: id, Instance: mesh.InstanceID(service), DeadlineMillis: 1000, Hash: 13}})
+	}
+	announce("depot")
+	for id := range mesh.CallID(2) {
+		announce("shop") // again after the crash
+		is.Equal(arrive(id+1, "shop").Action, GateDispatch)
+		step(Event{Kind: KindGateDone, GateDone: GateDone{Call: id + 1, Result: GateLost, Crashed: true}})
+	}
+	announce("shop")
+	is.Equal(arrive(3, "shop").Reason, mesh.ReasonPoison)
+	is.Equal(arrive(4, "depot").Action, GateDispatch)
+}
+
 // Guards against calls to a version that no move has started to use, and against
 // a restarted node that sends calls to a version whose move was withdrawn.
 func TestNewVersionGetsCallsOnlyFromMove(t *testing.T) {
--- a/internal/core/event.go
+++ b/internal/core/event.go
@@ -70,8 +70,8 @@
 	Path    []byte
 	// RequestID is the request identity that the caller chose. It is the same
 	// for all resends of a request and may be empty.
-	RequestID   []byte
-	Fingerprint mesh.Fingerprint
+	RequestID []byte
+	Hash      mesh.RequestHash
 	// DeadlineMillis is the time that the caller still waits for the answer, in
 	// milliseconds. Zero selects the deadline of the class.
 	DeadlineMillis uint32
@@ -108,7 +108,7 @@
 	Instance       mesh.InstanceID
 	Priority       mesh.Priority
 	DeadlineMillis uint32
-	Fingerprint    mesh.Fingerprint
+	Hash           mesh.RequestHash
 	// Crashes is the crash count that the entry node sent with the call.
 	Crashes uint8
 	// Idempotent is false for calls of a non-idempotent class.
--- a/internal/core/gate.go
+++ b/internal/core/gate.go
@@ -23,7 +23,9 @@
 func (n *Node) gateArrived(ev *Event, out *Ready) {
 	in := &ev.Gate
 	n.counters.GateCalls++
-	check := n.poison.Check(ev.Now, in.Fingerprint, poison.Suspicion{Crashes: in.Crashes})
+	backend, _ := n.members.Backend(in.Instance) // the gate rejects a call for an unknown instance
+	fingerprint := poison.Request{Hash: in.Hash, Service: backend.Service}.Fingerprint()
+	check := n.poison.Check(ev.Now, fingerprint, poison.Suspicion{Crashes: in.Crashes})
 	if check.Verdict == poison.Convicted {
 		n.counters.GateRejected++
 		out.Gates = append(out.Gates, GateEffect{
@@ -31,11 +33,11 @@
 		})
 		return
 	}
-	n.gateCalls[in.Call] = gateCall{instance: in.Instance, fingerprint: in.Fingerprint, suspicion: check.Suspicion}
+	n.gateCalls[in.Call] = gateCall{instance: in.Instance, fingerprint: fingerprint, suspicion: check.Suspicion}
 	n.scratch.gate = n.gate.Arrive(ev.Now, admission.Call{
 		ID: in.Call, Instance: in.Instance, Priority: in.Priority,
 		Deadline:    ev.Now.Add(time.Duration(in.DeadlineMillis) * time.Millisecond),
-		Fingerprint: in.Fingerprint, Exclusive: check.Verdict == poison.Suspect,
+		Fingerprint: fingerprint, Exclusive: check.Verdict == poison.Suspect,
 	}, n.scratch.gate)
 	n.flushGate(out)
 }
--- a/internal/core/group_test.go
+++ b/internal/core/group_test.go
@@ -163,7 +163,7 @@
 		}
 		g.deliver(c.Addr, Event{Kind: KindGateArrived, Gate: GateArrived{
 			Call: g.lastGateCall, Instance: c.Instance, Priority: c.Priority, Idempotent: c.Idempotent, Crashes: c.Crashes,
-			Fingerprint: g.arrivals[c.Call].Fingerprint, DeadlineMillis: uint32(c.Deadline.Sub(g.now) / time.Millisecond),
+			Hash: g.arrivals[c.Call].Hash, DeadlineMillis: uint32(c.Deadline.Sub(g.now) / time.Millisecond),
 		}})
 	case CallRelay:
 		g.executeRelay(host, c)
--- a/internal/core/replay_test.go
+++ b/internal/core/replay_test.go
@@ -141,7 +141,7 @@
 					continue
 				}
 				id++
-				c := CallArrived{Call: id, Method: []byte("GET"), Path: []byte("/stock/7"), Fingerprint: mesh.Fingerprint(id)}
+				c := CallArrived{Call: id, Method: []byte("GET"), Path: []byte("/stock/7"), Hash: mesh.RequestHash(id)}
 				if i%2 == 0 {
 					c = orderCall(id, g.identity(h[:len(h)-2]))
 				}
--- a/internal/core/session_test.go
+++ b/internal/core/session_test.go
@@ -175,10 +175,10 @@
 	is := is.New(t)
 	g := newReadyGroup(t)
 	crashing := func(id mesh.CallID) CallArrived {
-		return CallArrived{Call: id, Method: []byte("GET"), Path: []byte("/stock/13"), Fingerprint: 13}
+		return CallArrived{Call: id, Method: []byte("GET"), Path: []byte("/stock/13"), Hash: 13}
 	}
 	ordinary := func(id mesh.CallID) CallArrived {
-		return CallArrived{Call: id, Method: []byte("GET"), Path: []byte("/stock/7"), Fingerprint: 7}
+		return CallArrived{Call: id, Method: []byte("GET"), Path: []byte("/stock/7"), Hash: 7}
 	}
 	g.serviceTime = func() time.Duration { return 20 * time.Millisecond }
 	g.backendForCall = func(id mesh.CallID) GateDone {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -30,7 +30,9 @@
 	MoveID string
 	// CallID numbers a call within the node that accepted it.
 	CallID uint64
-	// Fingerprint is a hash of a request's method, path and body.
+	// RequestHash is a hash of what a client sends, see poison.HashRequest.
+	RequestHash uint64
+	// Fingerprint is a hash of a request's identity, see poison.Request.
 	Fingerprint uint64
 )
 
--- a/internal/proxy/calls.go
+++ b/internal/proxy/calls.go
@@ -165,10 +165,14 @@
 		n.rejectNew(s, e.Call, mesh.ReasonDraining, s.jitter(noTargetRetryAfter))
 		return
 	}
-	check := n.poison.Check(s.now, e.Fingerprint, poison.Suspicion{})
+	service := n.nextDestination(s, route)
+	fingerprint := n.identify(&e, service, tenant).Fingerprint()
+	check := n.poison.Check(s.now, fingerprint, poison.Suspicion{})
 	if check.Verdict == poison.Convicted {
 		// This call is not sent, but the request has already run as part of other calls.
-		s.log("call.blocked", "call", uint64(e.Call), "crashes", check.Suspicion.Crashes, "cleared", check.Suspicion.Cleared)
+		n.takeDestination(route, service)
+		s.log("call.blocked", "call", uint64(e.Call), "route", string(route.Name), "service", string(service), "fingerprint", uint64(fingerprint),
+			"crashes", check.Suspicion.Crashes, "cleared", check.Suspicion.Cleared)
 		n.counters.MayHaveRun++
 		s.out.Calls = append(s.out.Calls, CallEffect{
 			Call: e.Call, Action: CallReject, Outcome: mesh.MayHaveRun, Reason: mesh.ReasonPoison,
@@ -179,9 +183,10 @@
 	if !admitted {
 		return
 	}
+	n.takeDestination(route, service)
 	c := &call{
-		id: e.Call, route: route, service: n.destination(s, route), caller: n.settings.Service, arrived: s.now,
-		fingerprint: e.Fingerprint, suspicion: check.Suspicion, tenant: tenant, charge: charge,
+		id: e.Call, route: route, service: service, caller: n.settings.Service, arrived: s.now,
+		fingerprint: fingerprint, suspicion: check.Suspicion, tenant: tenant, charge: charge,
 	}
 	c.probeLimit = n.table.ProbeCount(s.now, s.random.Next(), c.service, probesBeforeQueue)
 	c.features = c.workRequest(&e)
@@ -193,6 +198,15 @@
 	n.place(s, c)
 }
 
+// identify returns the identity of a request that is sent to a service.
+func (n *Node) identify(e *CallArrived, service mesh.Service, tenant *catalog.Tenant) poison.Request {
+	r := poison.Request{Hash: e.Hash, Service: service, Caller: n.settings.Service}
+	if tenant != nil {
+		r.Tenant = tenant.Name
+	}
+	return r
+}
+
 // timeSpentByClient returns the time that the client spent on earlier attempts of its
 // own. remaining is the time for which the client still waits, zero if it sets no limit.
 // The client's first attempt comes with its full time limit, so the largest remaining
@@ -254,7 +268,7 @@
 	n.counters.Forwards++
 	effect := CallEffect{
 		Call: c.id, Action: CallForward, Attempt: c.attempt, Host: m.Host, Addr: m.ForwardAddr,
-		Instance: choice.ID, Route: c.route.Name, Rank: c.route.Rank, Idempotent: c.route.Idempotent,
+		Instance: choice.ID, Route: c.route.Name, Rank: c.route.Rank, Idempotent: c.route.Idempotent, Fingerprint: c.fingerprint,
 		Deadline: c.deadline, TimeToTarget: c.targetAt.Sub(s.now), MayQueue: mayQueue, Suspicion: c.suspicion,
 		RepeatProbability: c.repeatProbability, Caller: c.caller,
 	}
@@ -451,9 +465,11 @@
 	credit map[mesh.Service]int
 }
 
-// destination returns the service of the route's next request: the one whose credit is
-// largest after the weight of each destination was added to its credit.
-func (n *Node) destination(s *step, r *catalog.Route) mesh.Service {
+// nextDestination returns the service of the route's next request: the one whose credit is
+// largest after the weight of each destination was added to its credit. The credits change
+// only in takeDestination, so that requests that are rejected for their quota or wait for it
+// don't shift the shares of the others.
+func (n *Node) nextDestination(s *step, r *catalog.Route) mesh.Service {
 	if len(r.Destinations) == 1 {
 		return r.Destinations[0].Service
 	}
@@ -465,14 +481,24 @@
 			split.credit[d.Service] = int(s.random.Next() % uint64(max(d.Weight, 1)))
 		}
 	}
-	total, best := 0, r.Destinations[0].Service
+	best := r.Destinations[0]
+	for _, d := range r.Destinations[1:] {
+		if split.credit[d.Service]+d.Weight > split.credit[best.Service]+best.Weight {
+			best = d
+		}
+	}
+	return best.Service
+}
+
+// takeDestination counts a request of the route for the service that nextDestination has
+// returned.
+func (n *Node) takeDestination(r *catalog.Route, service mesh.Service) {
+	split := n.splits[r.Name]
+	if len(r.Destinations) == 1 || split == nil {
+		return
+	}
 	for _, d := range r.Destinations {
-		total += d.Weight
 		split.credit[d.Service] += d.Weight
-		if split.credit[d.Service] > split.credit[best] {
-			best = d.Service
-		}
+		split.credit[service] -= d.Weight
 	}
-	split.credit[best] -= total
-	return best
 }
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -19,10 +19,10 @@
 // CallArrived is a request from a client, or from the instance on this host, that
 // arrives at its entry node.
 type CallArrived struct {
-	Call        mesh.CallID
-	Host        string
-	Path        string
-	Fingerprint mesh.Fingerprint
+	Call mesh.CallID
+	Host string
+	Path string
+	Hash mesh.RequestHash
 	// Key is the key of a tenant that the request carries, empty for none.
 	Key string
 	// Method and BodyBytes describe the request for the prediction of its work.
@@ -287,6 +287,7 @@
 	Deadline     mesh.Time
 	TimeToTarget time.Duration
 	MayQueue     bool
+	Fingerprint  mesh.Fingerprint
 	Suspicion    poison.Suspicion
 	// Caller is the service of this host when the call arrived.
 	Caller mesh.Service
--- a/internal/proxy/meshsim_test.go
+++ b/internal/proxy/meshsim_test.go
@@ -58,10 +58,10 @@
 	// crashes lists the hosts whose instances crash for a reason of their own, by the time
 	// after the start.
 	crashes map[time.Duration][]int
-	// identical lists the paths whose requests all have the fingerprint given here.
-	// Requests with the fingerprint crashing crash each instance that runs them.
-	identical map[string]mesh.Fingerprint
-	crashing  mesh.Fingerprint
+	// identical lists the paths whose requests all have the hash given here. Requests
+	// with the hash crashing crash each instance that runs them.
+	identical map[string]mesh.RequestHash
+	crashing  mesh.RequestHash
 }
 
 // meshHost is a host with its node, which is nil while it is down.
@@ -78,7 +78,7 @@
 type meshRequest struct {
 	entry, epoch int
 	service      mesh.Service
-	fingerprint  mesh.Fingerprint
+	hash         mesh.RequestHash
 	arrivals     int
 	// fromRepeat is set for a call of a run that is itself a repeat.
 	fromRepeat bool
@@ -93,6 +93,7 @@
 	attempt     uint8
 	gate, epoch int
 	route       mesh.Route
+	fingerprint mesh.Fingerprint
 	suspicion   poison.Suspicion
 	startedAt   mesh.Time // start at the instance
 }
@@ -284,7 +285,7 @@
 	}
 	sim.nextID++
 	id := sim.nextID
-	run := &meshRun{request: r, call: e.Call, attempt: e.Attempt, gate: gate, epoch: sim.hosts[gate].epoch, route: e.Route, suspicion: e.Suspicion}
+	run := &meshRun{request: r, call: e.Call, attempt: e.Attempt, gate: gate, epoch: sim.hosts[gate].epoch, route: e.Route, fingerprint: e.Fingerprint, suspicion: e.Suspicion}
 	if sim.hosts[gate].node == nil {
 		sim.deliverResult(run, AttemptDone{Outcome: mesh.NotRun, Reason: mesh.ReasonConnectionLost, HostFailed: true})
 		return
@@ -297,7 +298,7 @@
 		sim.step(gate, GateArrived{
 			Call: id, Instance: e.Instance, Route: e.Route, Rank: e.Rank, TimeLeft: e.Deadline.Sub(sim.now),
 			TimeToTarget: e.TimeToTarget - hopDelay, MayQueue: e.MayQueue, RepeatProbability: e.RepeatProbability,
-			Fingerprint: r.fingerprint, Suspicion: e.Suspicion,
+			Fingerprint: e.Fingerprint, Suspicion: e.Suspicion,
 		})
 	})
 }
@@ -333,7 +334,7 @@
 		work = frontWork
 	}
 	sim.after(time.Duration(float64(work)*(0.5+sim.random.Float64())), func() {
-		if r.fingerprint == sim.crashing && sim.runs[e.Call] != nil {
+		if r.hash == sim.crashing && sim.runs[e.Call] != nil {
 			sim.crashInstance(run.gate)
 		}
 		sim.runCalls(e.Call, run, repeat, lost)
@@ -385,7 +386,7 @@
 	if node := sim.hosts[run.gate].node; node != nil {
 		done.Load, done.HasLoad = node.LocalLoad(), true
 		if gate.Down || run.suspicion.Crashes > 0 {
-			done.Suspicion = node.Suspicion(sim.now, run.request.fingerprint)
+			done.Suspicion = node.Suspicion(sim.now, run.fingerprint)
 		}
 	}
 	sim.deliverResult(run, done)
@@ -415,12 +416,12 @@
 	}
 	sim.nextID++
 	id := sim.nextID
-	fingerprint, ok := sim.identical[path]
+	hash, ok := sim.identical[path]
 	if !ok {
-		fingerprint = mesh.Fingerprint(id)
+		hash = mesh.RequestHash(id)
 	}
-	sim.requests[id] = &meshRequest{entry: host, epoch: sim.hosts[host].epoch, service: service, fingerprint: fingerprint, fromRepeat: fromRepeat, done: done}
-	sim.step(host, CallArrived{Call: id, Host: "a", Path: path, Fingerprint: fingerprint, Budget: timeout})
+	sim.requests[id] = &meshRequest{entry: host, epoch: sim.hosts[host].epoch, service: service, hash: hash, fromRepeat: fromRepeat, done: done}
+	sim.step(host, CallArrived{Call: id, Host: "a", Path: path, Hash: hash, Budget: timeout})
 }
 
 func (sim *meshSimulation) faultActive() bool {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -72,7 +72,7 @@
 
 func (tn *testNode) call(id mesh.CallID, path string) CallEffect {
 	tn.Helper()
-	out := tn.step(CallArrived{Call: id, Host: "a", Path: path, Fingerprint: mesh.Fingerprint(id), Budget: time.Second})
+	out := tn.step(CallArrived{Call: id, Host: "a", Path: path, Hash: mesh.RequestHash(id), Budget: time.Second})
 	if len(out.Calls) != 1 {
 		tn.Fatalf("%d effects on a new call", len(out.Calls))
 	}
@@ -208,7 +208,7 @@
 	tn := newTestNode(t).withConfigAndMembers()
 	fresh := tn.call(1, "/read/1")
 	is.Equal(fresh.TimeToTarget, 300*ms)
-	out := tn.step(CallArrived{Call: 2, Host: "a", Path: "/read/1", Fingerprint: 2, Budget: 600 * ms})
+	out := tn.step(CallArrived{Call: 2, Host: "a", Path: "/read/1", Hash: 2, Budget: 600 * ms})
 	is.Equal(out.Calls[0].TimeToTarget, -100*ms)
 }
 
@@ -363,7 +363,9 @@
 	route := &catalog.Route{Name: "x", Destinations: []catalog.Destination{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
 	counts := map[mesh.Service]int{}
 	for range 1000 {
-		counts[tn.node.destination(&step{now: start}, route)]++
+		service := tn.node.nextDestination(&step{now: start}, route)
+		tn.node.takeDestination(route, service)
+		counts[service]++
 	}
 	is.True(counts["b"] >= 99 && counts["b"] <= 101)
 }
@@ -486,7 +488,7 @@
 	is := is.New(t)
 	tn := newTestNode(t).withConfigAndMembers()
 	again := func(id mesh.CallID) CallEffect {
-		return tn.step(CallArrived{Call: id, Host: "a", Path: "/read/1", Fingerprint: 7, Budget: time.Second}).Calls[0]
+		return tn.step(CallArrived{Call: id, Host: "a", Path: "/read/1", Hash: 7, Budget: time.Second}).Calls[0]
 	}
 	lost := AttemptDone{Outcome: mesh.MayHaveRun, Reason: mesh.ReasonConnectionLost, Reached: true, Suspicion: poison.Suspicion{Crashes: 1}}
 	tn.endAttempt(again(1), lost)
--- a/internal/proxy/quota_test.go
+++ b/internal/proxy/quota_test.go
@@ -23,7 +23,7 @@
 }
 
 func (tn *testNode) keyedCall(id mesh.CallID) *Ready {
-	return tn.step(CallArrived{Call: id, Host: "a", Path: "/book/1", Fingerprint: mesh.Fingerprint(id), Budget: time.Second, Key: "k"})
+	return tn.step(CallArrived{Call: id, Host: "a", Path: "/book/1", Hash: mesh.RequestHash(id), Budget: time.Second, Key: "k"})
 }
 
 // grant answers the report among the effects of the last step as the coordinator.
--- a/internal/runtime/calls.go
+++ b/internal/runtime/calls.go
@@ -94,7 +94,7 @@
 	}
 	return core.CallArrived{
 		Service: h.Peek(mesh.HeaderService), Method: h.Method(), Path: path, RequestID: h.Peek(mesh.HeaderRequestID),
-		Fingerprint:    fingerprint(h.Method(), target, ctx.Request.Body()),
+		Hash:           hashRequest(h, target, ctx.Request.Body()),
 		DeadlineMillis: uint32(deadline), Depth: uint8(depth), Crashes: uint8(crashes),
 	}, true
 }
--- a/internal/runtime/gate.go
+++ b/internal/runtime/gate.go
@@ -55,8 +55,8 @@
 	}
 	return core.GateArrived{
 		Instance: mesh.InstanceID(instance), Priority: mesh.Priority(priority), DeadlineMillis: uint32(deadline),
-		Fingerprint: fingerprint(h.Method(), target, req.Body()),
-		Crashes:     uint8(crashes), Idempotent: len(h.Peek(headerIdempotent)) > 0,
+		Hash:    hashRequest(h, target, req.Body()),
+		Crashes: uint8(crashes), Idempotent: len(h.Peek(headerIdempotent)) > 0,
 	}, true
 }
 
@@ -65,7 +65,7 @@
 	c.attemptResponse.Reset()
 	c.node.serveGateCall(core.GateArrived{
 		Instance: e.Instance, Priority: e.Priority, DeadlineMillis: remainingMillis(e.Deadline, now()),
-		Fingerprint: fingerprint(c.header.Method(), c.target, c.body), Crashes: e.Crashes, Idempotent: e.Idempotent,
+		Hash: hashRequest(c.header, c.target, c.body), Crashes: e.Crashes, Idempotent: e.Idempotent,
 	}, c.header, c.body, c.target, &c.attemptResponse)
 	return c.finishAttempt(e, nil)
 }
--- a/internal/runtime/headers.go
+++ b/internal/runtime/headers.go
@@ -5,10 +5,10 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/valyala/fasthttp"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
 )
 
 // Headers between nodes, in addition to those of package mesh.
@@ -88,17 +88,14 @@
 	return uint32(max(deadline.Sub(at)/time.Millisecond, 1))
 }
 
-// fingerprint hashes the method, request target and body. The target includes
-// the query, so that requests that differ only in the query have different
-// fingerprints.
-func fingerprint(method, target, body []byte) mesh.Fingerprint {
-	d := xxhash.New()
-	for _, part := range [...][]byte{method, target} {
-		_, _ = d.Write(part)
-		_, _ = d.Write([]byte{0})
+// hashRequest returns the same hash at the entry node and at the gate, which gets the
+// request with defaultHost if the caller has sent no Host header.
+func hashRequest(h *fasthttp.RequestHeader, target, body []byte) mesh.RequestHash {
+	host := h.Host()
+	if len(host) == 0 {
+		host = []byte(defaultHost)
 	}
-	_, _ = d.Write(body)
-	return mesh.Fingerprint(d.Sum64())
+	return poison.HashRequest(host, h.Method(), target, body)
 }
 
 // copyRequest copies a request for another target and removes the hop-by-hop
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -9,12 +9,12 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/joomcode/errorx"
 
 	"github.com/chicoryscale/chicoryscale/internal/clientlimit"
 	"github.com/chicoryscale/chicoryscale/internal/membudget"
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/poison"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 	"github.com/chicoryscale/chicoryscale/internal/upstream"
 )
@@ -25,13 +25,12 @@
 // request is a client's request at its entry node, the node that received it first. One
 // goroutine owns it.
 type request struct {
-	node        *Node
-	id          mesh.CallID
-	http        *http.Request
-	body        []byte
-	fingerprint mesh.Fingerprint
-	effects     chan proxy.CallEffect
-	answer      gateAnswer // of the latest attempt
+	node    *Node
+	id      mesh.CallID
+	http    *http.Request
+	body    []byte
+	effects chan proxy.CallEffect
+	answer  gateAnswer // of the latest attempt
 	// cancelAttempt cancels the latest attempt, whose answer may still be arriving.
 	cancelAttempt context.CancelFunc
 	// answered is called when the answer is known. A client that doesn't read it must not
@@ -63,8 +62,7 @@
 	defer ended()
 	body := buffer.Bytes()
 	req := &request{
-		node: n, id: mesh.CallID(n.nextID.Add(1)), http: r, body: body,
-		fingerprint: fingerprint(r.Method, r.RequestURI, body), effects: make(chan proxy.CallEffect, effectBuffer),
+		node: n, id: mesh.CallID(n.nextID.Add(1)), http: r, body: body, effects: make(chan proxy.CallEffect, effectBuffer),
 		cancelAttempt: func() {}, answered: ended,
 	}
 	n.mu.Lock()
@@ -76,7 +74,8 @@
 		n.mu.Unlock()
 	}()
 	n.step(proxy.CallArrived{
-		Call: req.id, Host: r.Host, Path: pathOf(r.RequestURI), Fingerprint: req.fingerprint, Budget: parseMillis(r.Header.Get(n.headers.DeadlineMillis)), Key: r.Header.Get(n.headers.Key),
+		Call: req.id, Host: r.Host, Path: pathOf(r.RequestURI), Budget: parseMillis(r.Header.Get(n.headers.DeadlineMillis)), Key: r.Header.Get(n.headers.Key),
+		Hash:   poison.HashRequest([]byte(r.Host), []byte(r.Method), []byte(r.RequestURI), body),
 		Method: r.Method, BodyBytes: len(body),
 	})
 	outcome := req.run(w)
@@ -191,7 +190,7 @@
 	f := forwardedRequest{
 		method: r.http.Method, target: r.http.RequestURI, host: r.http.Host, body: r.body,
 		instance: e.Instance, route: e.Route, rank: e.Rank, tenantRank: e.TenantRank, deadline: e.Deadline, leftToTarget: e.TimeToTarget,
-		mayQueue: e.MayQueue, idempotent: e.Idempotent, fingerprint: r.fingerprint, suspicion: e.Suspicion, repeatProbability: e.RepeatProbability,
+		mayQueue: e.MayQueue, idempotent: e.Idempotent, fingerprint: e.Fingerprint, suspicion: e.Suspicion, repeatProbability: e.RepeatProbability,
 	}
 	f.header = endToEndHeader(r.http.Header)
 	f.header.Set(n.headers.Caller, string(e.Caller))
@@ -292,15 +291,3 @@
 	}
 	return time.Duration(v * float64(time.Millisecond))
 }
-
-// fingerprint hashes the method, request target and body of a request. Repetitions of a
-// request that crashes instances have the same fingerprint.
-func fingerprint(method, target string, body []byte) mesh.Fingerprint {
-	d := xxhash.New()
-	for _, part := range [...]string{method, target} {
-		_, _ = d.WriteString(part) // never fails
-		_, _ = d.Write([]byte{0})
-	}
-	_, _ = d.Write(body)
-	return mesh.Fingerprint(d.Sum64())
-}
