Count requests that time out at the gate as evidence about a version

Cause: a request whose context ended had one result at the gate, whether its client had left or its time had passed, and neither was evidence. The instance's own 504 counts as a failure, but comes too late to be seen if its clock is a few milliseconds coarse.

Ruled out: that the time-outs are counted and excused.

Change: the result GateTimedOut, told from GateAbandoned by the deadline at the gate. It counts as a failure if the instance was warm and had the request for at least the route's target latency.

TestRequestsThatTimeOutAreEvidence needs the new result, so it doesn't compile before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -163,6 +163,16 @@
 	return nil
 }
 
+// Route returns the route of a name, or nil if there is none.
+func (s *Snapshot) Route(name mesh.Route) *Route {
+	for i := range s.Routes {
+		if s.Routes[i].Name == name {
+			return &s.Routes[i]
+		}
+	}
+	return nil
+}
+
 // normalizeHost removes the port from a Host header and converts it to lower case.
 func normalizeHost(host string) string {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/internal/proxy/events.go
+++ b/internal/proxy/events.go
@@ -108,8 +108,10 @@
 	GateRefused
 	// GateMisdirected means that another instance now listens on the address.
 	GateMisdirected
-	// GateAbandoned means that the caller gave up while the instance was working.
+	// GateAbandoned means that the caller left while the instance was working.
 	GateAbandoned
+	// GateTimedOut means that the time limit passed while the instance was working.
+	GateTimedOut
 )
 
 // GateDone is the end of a dispatched request at the gate.
--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -330,11 +330,28 @@
 	}
 }
 
+// tooSlow reports whether the time limit of a request passed although a warm instance had the
+// time within which it should answer. Such a request is evidence like the instance's own
+// answer that the time is over, which may arrive too late to be seen.
+func (n *Node) tooSlow(s *step, c *gateCall, e GateDone) bool {
+	return e.Result == GateTimedOut && s.now >= n.local.warmAt && n.overTarget(s, c)
+}
+
+// overTarget reports whether the instance has taken as long for a request as the route's target
+// latency. That can't be told of a route without a target, or that was removed.
+func (n *Node) overTarget(s *step, c *gateCall) bool {
+	if n.config == nil {
+		return false
+	}
+	route := n.config.Route(c.route)
+	return route != nil && route.TargetLatency > 0 && s.now.Sub(c.dispatchedAt) >= route.TargetLatency
+}
+
 // countEvidence adds the result of a request to the evidence about the version of the
 // instance, if a roll-out of its service is running.
 func (n *Node) countEvidence(s *step, c *gateCall, e GateDone) {
 	l := &n.local
-	if c.instance != l.id || c.dispatchedAt == 0 || e.Result != GateAnswered && e.Result != GateLost {
+	if c.instance != l.id || c.dispatchedAt == 0 || e.Result != GateAnswered && e.Result != GateLost && !n.tooSlow(s, c, e) {
 		return
 	}
 	order := n.rollouts.OrderRevision(l.service)
@@ -349,7 +366,7 @@
 	}
 	l.countsUnreported = true
 	r.Answers++
-	if e.Failed || e.Result == GateLost {
+	if e.Failed || e.Result != GateAnswered {
 		r.Failures++
 		return
 	}
--- a/internal/sidecar/gate.go
+++ b/internal/sidecar/gate.go
@@ -215,7 +215,7 @@
 	done := proxy.GateDone{Call: id}
 	var a gateAnswer
 	if err != nil {
-		a, done.Result, done.Down = n.classifyInstanceError(ctx, err)
+		a, done.Result, done.Down = n.classifyInstanceError(ctx, err, f.deadline)
 	} else {
 		a, done.Result = n.classifyInstanceAnswer(resp)
 		done.Failed = a.outcome == mesh.Answered && a.failed()
@@ -239,13 +239,17 @@
 // gateResultNames holds the names of gate results in logs and metrics.
 var gateResultNames = [...]string{
 	proxy.GateAnswered: "answered", proxy.GateNotSent: "not_sent", proxy.GateLost: "lost", proxy.GateRefused: "refused",
-	proxy.GateMisdirected: "misdirected", proxy.GateAbandoned: "abandoned",
+	proxy.GateMisdirected: "misdirected", proxy.GateAbandoned: "abandoned", proxy.GateTimedOut: "timed_out",
 }
 
+// timeLimitSlack is how long before the deadline at the gate a caller may give up because of
+// its time limit: its clock started earlier, by the time that the request took to the gate.
+const timeLimitSlack = 20 * time.Millisecond
+
 // classifyInstanceError returns the result of a request that could not be sent to the
 // instance, or whose answer did not arrive. down is set if the instance no longer accepts
 // connections.
-func (n *Node) classifyInstanceError(ctx context.Context, err error) (a gateAnswer, result proxy.GateResult, down bool) {
+func (n *Node) classifyInstanceError(ctx context.Context, err error, deadline mesh.Time) (a gateAnswer, result proxy.GateResult, down bool) {
 	if !errorx.IsOfType(err, upstream.ErrLost) {
 		a = gateAnswer{outcome: mesh.NotRun, reason: mesh.ReasonConnectionLost}
 		if errorx.IsOfType(err, upstream.ErrBusy) {
@@ -256,6 +260,9 @@
 	a = gateAnswer{outcome: mesh.MayHaveRun, reason: mesh.ReasonConnectionLost, reached: true}
 	if ctx.Err() != nil {
 		a.reason = mesh.ReasonDeadline
+		if n.now() >= deadline.Add(-timeLimitSlack) {
+			return a, proxy.GateTimedOut, false
+		}
 		return a, proxy.GateAbandoned, false
 	}
 	return a, proxy.GateLost, n.instancePool.Refuses()
