Notice that a client leaves behind a request that it has sent ahead

Cause: net/http notices the end of a connection by a read of one byte while a handler runs. The first byte of a request sent ahead ends this read, and the close lies behind bytes that nobody reads. A second request in the same packet as the first doesn't show it, since the read finds nothing then, which rules out the number of requests as the cause.

When the client has left, it is closed and the context of its requests ends.

On a related path, a client that closes only its sending side got a status of 200 that no instance had given, which net/http writes when a handler returns without an answer. It gets 502 now.

--- a/internal/clientlimit/conn.go
+++ b/internal/clientlimit/conn.go
@@ -32,6 +32,9 @@
 	phaseSince atomic.Int64 // ns since processStart; for phaseHead and phaseBody the arrival of the head's first byte
 	progressAt atomic.Int64 // ns since processStart; time of the latest byte received or sent
 	writing    atomic.Bool  // a Write is in progress
+	ended      atomic.Int64 // number of requests that have ended
+	// cancel ends the context of the connection's requests. It is set before the first one.
+	cancel context.CancelFunc
 	// received and sent count the bytes of the latest request and its answer.
 	received, sent atomic.Int64
 
@@ -70,7 +73,11 @@
 	c.received.Add(int64(n))
 	if len(p) == 1 {
 		// While a handler runs, net/http reads one byte in the background to notice that
-		// the client leaves. Such a read must not touch the state of the next head.
+		// the client leaves. Such a read must not touch the state of the next head. Once
+		// it has returned a byte of a request sent ahead, net/http notices nothing more.
+		if c.cancel != nil {
+			go c.awaitDeparture(c.ended.Load())
+		}
 		return n, err
 	}
 	c.sawRead = true
@@ -185,6 +192,7 @@
 
 // RequestEnded is called when the answer has been written.
 func (c *Conn) RequestEnded() {
+	c.ended.Add(1)
 	c.setPhase(phaseIdle)
 	c.received.Store(0)
 	c.sent.Store(0)
@@ -276,9 +284,15 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// WithConn returns a context that holds the connection. It is for http.Server.ConnContext.
+// WithConn returns a context that holds the connection and ends when its client is seen to
+// leave. It is for http.Server.ConnContext.
 func WithConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+	conn, ok := c.(*Conn)
+	if !ok {
+		return ctx
+	}
+	ctx, conn.cancel = context.WithCancel(ctx)
+	return context.WithValue(ctx, connKey{}, conn)
 }
 
 // FromContext returns the connection of a request, nil if it has none from a guard.
--- a/internal/clientlimit/guard_test.go
+++ b/internal/clientlimit/guard_test.go
@@ -260,6 +260,36 @@
 	is.Equal(l.guard.Counts()[Pipelined], uint64(1))
 }
 
+// Guards against requests that run on, and requests sent ahead that run at all, after their
+// client has left.
+func TestClientThatHasSentAheadIsNoticedWhenItLeaves(t *testing.T) {
+	is := is.New(t)
+	l := newTestListener(t, Clients, 4, roomy)
+	client, server := l.connect()
+	ctx := WithConn(t.Context(), server)
+	for range 2 { // the second request is sent ahead, and net/http reads its first byte
+		l.receive(client, server, "GET / HTTP/1.1\r\n\r\n")
+		server.RequestBegan(0)
+		server.RequestRead()
+		l.receive(client, server, "G")
+		time.Sleep(2 * departureCheckInterval)
+		is.NoErr(ctx.Err())
+		server.RequestEnded()
+	}
+	server.RequestBegan(0)
+	l.receive(client, server, "G")
+	_, err := io.WriteString(client, "ET / HTTP/1.1\r\n\r\n")
+	is.NoErr(err)
+	is.NoErr(client.Close())
+	select {
+	case <-ctx.Done():
+	case <-time.After(testTimeout):
+		t.Fatal("the requests of a client that has left are still in progress")
+	}
+	_, err = server.Read(make([]byte, 100))
+	is.True(err != nil) // the rest of the second request doesn't arrive
+}
+
 // Guards against a few clients that hold so much that none is left for ordinary ones.
 func TestLargeHoldersLeaveMemoryToSmallOnes(t *testing.T) {
 	is := is.New(t)
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -173,6 +173,9 @@
 			}
 		case <-ctx.Done():
 			r.node.step(proxy.CallCancelled{Call: r.id})
+			// A client that has closed only its sending side still reads, and would get a
+			// status of 200 from net/http.
+			w.WriteHeader(http.StatusBadGateway)
 			return o
 		}
 	}
