Bound the memory of log lines that wait for the output

Cause: the queue of the log held 512 lines of any length, 48 MB of such lines, and as much again when they were joined.

Change: texts in a line are cut after 256 bytes, and the queue is bounded to 1 MB. Lines beyond that are dropped and counted as before.

--- a/internal/sidecar/log.go
+++ b/internal/sidecar/log.go
@@ -19,8 +19,12 @@
 	// maxCallLines replaces maxLinesPerKind for the kinds of lines about the end of a
 	// request, which are needed to follow up a user's complaint.
 	maxCallLines = 150
-	// logQueueLen bounds the lines that wait to be written to the output.
-	logQueueLen = 512
+	// logQueueLen and logQueueBytes bound the lines that wait to be written to the output.
+	logQueueLen   = 512
+	logQueueBytes = 1 << 20
+	// maxAttrBytes bounds a text in a line. Clients choose some of them, such as the
+	// identity of a request, which may be as long as a head.
+	maxAttrBytes = 256
 )
 
 // callKindPrefix is the prefix of the kinds of lines about the end of a request.
@@ -44,10 +48,18 @@
 func NewLog(w io.Writer) *Log {
 	l := &Log{counts: make(map[string]int), omitted: make(map[string]int)}
 	l.queue = newLineQueue(w, &l.dropped)
-	l.logger = slog.New(slog.NewJSONHandler(l.queue, nil))
+	l.logger = slog.New(slog.NewJSONHandler(l.queue, &slog.HandlerOptions{ReplaceAttr: shortenText}))
 	return l
 }
 
+// shortenText cuts a text after maxAttrBytes and marks that with an ellipsis.
+func shortenText(_ []string, a slog.Attr) slog.Attr {
+	if a.Value.Kind() != slog.KindString || len(a.Value.String()) <= maxAttrBytes {
+		return a
+	}
+	return slog.String(a.Key, a.Value.String()[:maxAttrBytes]+"…")
+}
+
 // With adds attributes to all further lines.
 func (l *Log) With(attrs ...any) { l.logger = l.logger.With(attrs...) }
 
@@ -106,6 +118,7 @@
 type lineQueue struct {
 	out     io.Writer
 	lines   chan []byte   // the queue
+	queued  atomic.Int64  // bytes in the queue
 	quit    chan struct{} // closed to end run
 	done    chan struct{} // closed when run has ended
 	dropped *atomic.Int64
@@ -121,11 +134,16 @@
 
 // Write implements io.Writer. It never blocks.
 func (q *lineQueue) Write(p []byte) (int, error) {
-	select {
-	case q.lines <- append([]byte(nil), p...):
-	default:
-		q.dropped.Add(1)
+	size := int64(len(p))
+	if q.queued.Add(size) <= logQueueBytes {
+		select {
+		case q.lines <- append([]byte(nil), p...):
+			return len(p), nil
+		default:
+		}
 	}
+	q.queued.Add(-size)
+	q.dropped.Add(1)
 	return len(p), nil
 }
 
@@ -145,11 +163,12 @@
 }
 
 // write writes a line and all queued ones with one call.
-func (q *lineQueue) write(line []byte) {
+func (q *lineQueue) write(lines []byte) {
 	for range len(q.lines) {
-		line = append(line, <-q.lines...)
+		lines = append(lines, <-q.lines...)
 	}
-	if _, err := q.out.Write(line); err != nil {
+	q.queued.Add(-int64(len(lines)))
+	if _, err := q.out.Write(lines); err != nil {
 		q.dropped.Add(1) // a failure of the log output can be reported nowhere else
 	}
 }
