Roll a version back that misses the target latency beyond chance

Cause: versions were compared by failures and by the means of their durations, where only a threefold mean counts. Ruled out by a trial with the counts of both: that the old version was as slow.

Change: gates count the answers of a warm instance over the route's target latency. A version is rolled back if it has more of them than chance explains, on a route or on all, and most of its instances show it.

TestBadVersionIsRolledBack with a slow part of the answers failed before.

--- a/internal/proxy/gate.go
+++ b/internal/proxy/gate.go
@@ -373,5 +373,8 @@
 	if s.now >= l.warmAt {
 		r.Measured++
 		r.Busy += s.now.Sub(c.dispatchedAt)
+		if n.overTarget(s, c) {
+			r.Late++
+		}
 	}
 }
--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -30,6 +30,15 @@
 	// slowFactor is the ratio of mean durations above which the new version is slow.
 	// It exceeds the ratio between the slowest and the fastest healthy instance.
 	slowFactor = 3
+	// A version may exceed the target latency lateFactor times as often as the old one, whose
+	// ratio is taken to be at least minLateRatio and baselineDeviations standard deviations
+	// above the measured one. The new version is slow if it does so more than lateDeviations
+	// standard deviations more often: the versions are compared several times a second and on
+	// each route.
+	lateFactor         = 1.5
+	minLateRatio       = 0.01
+	baselineDeviations = 2
+	lateDeviations     = 4
 	// minInstanceAnswers is the number of answers from which an instance counts
 	// when the faulty instances of a version are counted.
 	minInstanceAnswers = 4
@@ -37,8 +46,8 @@
 
 // tally sums the counts of several instances, on one route or on all.
 type tally struct {
-	answers, failures, measured uint32
-	busy                        time.Duration
+	answers, failures, measured, late uint32
+	busy                              time.Duration
 }
 
 func (t *tally) add(c RouteCount) {
@@ -46,6 +55,7 @@
 	t.failures += c.Failures
 	t.measured += c.Measured
 	t.busy += c.Busy
+	t.late += c.Late
 }
 
 func (t *tally) failureRatio() float64 {
@@ -80,6 +90,21 @@
 	return canary.measured >= minMeasured && baseline.measured >= minMeasured && canary.meanDuration() > slowFactor*baseline.meanDuration()
 }
 
+// expectedLate returns the number of answers over the target latency that a good version with
+// as many measured answers as the canary is expected to have.
+func expectedLate(canary, baseline tally) float64 {
+	late := float64(baseline.late)
+	ratio := (late + baselineDeviations*math.Sqrt(late+1)) / max(float64(baseline.measured), 1)
+	return lateFactor * max(ratio, minLateRatio) * float64(canary.measured)
+}
+
+// oftenLate reports whether the new version misses the target latency more often than chance
+// explains. A part of its answers may be several times slower while their mean is not.
+func oftenLate(canary, baseline tally) bool {
+	expected := expectedLate(canary, baseline)
+	return canary.late >= minFailures && baseline.measured >= minBaselineAnswers && float64(canary.late) > expected+lateDeviations*math.Sqrt(expected)
+}
+
 // comparison sums the evidence on one roll-out by version and by route. canary is
 // the new version, baseline all others.
 type comparison struct {
@@ -127,6 +152,12 @@
 			return fmt.Sprintf("answers take %s on route %s, %s before",
 				time.Duration(canary.meanDuration()).Round(time.Millisecond), route, time.Duration(baseline.meanDuration()).Round(time.Millisecond))
 		}
+		if oftenLate(canary, baseline) && c.mostInstances(func(t tally) bool { return instanceIsLate(t, baseline) }, route) {
+			return lateReason(canary, baseline, " on route "+string(route))
+		}
+	}
+	if oftenLate(c.canary, c.baseline) && c.mostInstances(func(t tally) bool { return instanceIsLate(t, c.baseline) }, "") {
+		return lateReason(c.canary, c.baseline, "")
 	}
 	return ""
 }
@@ -138,6 +169,15 @@
 	return instance.failures > 0 && instance.failureRatio() > failureFactor*baseline.failureRatio()
 }
 
+// instanceIsLate is instanceFails for answers over the target latency.
+func instanceIsLate(instance, baseline tally) bool {
+	return float64(instance.late) > expectedLate(instance, baseline)
+}
+
+func lateReason(canary, baseline tally, where string) string {
+	return fmt.Sprintf("%d of %d answers were over the target latency%s, %d of %d before", canary.late, canary.measured, where, baseline.late, baseline.measured)
+}
+
 // mostInstances reports whether more than half of the canary instances with enough
 // answers on the route show a fault. An empty route stands for all routes. If no
 // instance has enough answers, it returns true.
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -22,6 +22,9 @@
 // answerModel returns a simulated answer of a version. at is the time since the order.
 type answerModel func(at time.Duration, random *rand.Rand) (failed bool, took time.Duration)
 
+// targetLatency is exceeded by one in twelve answers of a healthy version.
+const targetLatency = 170 * time.Millisecond
+
 func healthy(_ time.Duration, random *rand.Rand) (bool, time.Duration) {
 	return random.Float64() < 0.01, time.Duration(60+random.IntN(120)) * time.Millisecond
 }
@@ -103,6 +106,9 @@
 	}
 	r.Measured++
 	r.Busy += took
+	if took > targetLatency {
+		r.Late++
+	}
 }
 
 // Guards against good versions that are rolled back or don't complete in time, at low
@@ -163,6 +169,13 @@
 			_, d := healthy(0, r)
 			return false, 8 * d
 		},
+		"a part slow": func(_ time.Duration, r *rand.Rand) (bool, time.Duration) {
+			_, d := healthy(0, r)
+			if r.Float64() < 0.3 {
+				d *= 4
+			}
+			return false, d
+		},
 		"after 3 s": func(at time.Duration, r *rand.Rand) (bool, time.Duration) {
 			return at > 3*time.Second && r.Float64() < 0.5, 100 * time.Millisecond
 		},
--- a/internal/rollout/types.go
+++ b/internal/rollout/types.go
@@ -93,6 +93,9 @@
 	// ones of an instance that has warmed up. Busy is the sum of their durations.
 	Measured uint32
 	Busy     time.Duration
+	// Late counts the answers among Measured that took longer than the route's target
+	// latency.
+	Late uint32
 }
 
 // Evidence holds the counts of the answers of one instance, as counted by the gate in
@@ -129,12 +132,12 @@
 	routes := make([]RouteCount, 0, len(e.Routes))
 	for _, r := range e.Routes {
 		base := earlier.routeCount(r.Route)
-		if r.Answers < base.Answers || r.Failures < base.Failures || r.Measured < base.Measured || r.Busy < base.Busy {
+		if r.Answers < base.Answers || r.Failures < base.Failures || r.Measured < base.Measured || r.Busy < base.Busy || r.Late < base.Late {
 			base = RouteCount{} // the instance was restarted and counts from zero
 		}
 		routes = append(routes, RouteCount{
 			Route: r.Route, Answers: r.Answers - base.Answers, Failures: r.Failures - base.Failures,
-			Measured: r.Measured - base.Measured, Busy: r.Busy - base.Busy,
+			Measured: r.Measured - base.Measured, Busy: r.Busy - base.Busy, Late: r.Late - base.Late,
 		})
 	}
 	e.Routes = routes
