Read the operator's rows when the reader is lost

Cause: a follower reads nothing from the store itself. It tries one host after the other as its reader, each until a time-out, before it becomes the reader. Ruled out: the store, which answers throughout.

Change: with each reader that it loses, a node reads the changes of the operator's rows from the store once, beside its search.

TestFollowerWithoutReaderReadsTheOperatorsRows failed before and passes.

--- a/internal/sidecar/reader.go
+++ b/internal/sidecar/reader.go
@@ -172,6 +172,7 @@
 			// another host is the reader.
 			n.log.Line(time.Now(), "reader.lost", "reader", string(reader.Host), "error", err.Error())
 			n.step(proxy.PeerChecked{Host: reader.Host, Alive: false})
+			go n.catchUpWithOperator(ctx)
 			continue
 		}
 		n.step(proxy.PeerChecked{Host: reader.Host, Alive: true})
@@ -194,6 +195,23 @@
 	}
 }
 
+// catchUpWithOperator reads the changes of the operator's rows from the store once. A node that
+// has lost its reader tries the other hosts in turn, each until a time-out if it is this node
+// that is cut off, and would not learn of a new configuration in time.
+func (n *Node) catchUpWithOperator(ctx context.Context) {
+	if !n.replicas[TableOperator].isLoaded() || !n.catchingUp.CompareAndSwap(false, true) {
+		return
+	}
+	defer n.catchingUp.Store(false)
+	_, err := n.pollChanges(ctx, TableOperator, n.replicas[TableOperator].completeRevision(), 0)
+	if errorx.IsOfType(err, ErrHistoryLost) {
+		_, err = n.loadTable(ctx, TableOperator)
+	}
+	if err != nil {
+		n.log.Line(time.Now(), "reader.catch_up_failed", "error", err.Error())
+	}
+}
+
 // isSubstitute reports whether this node currently reads the store in place of its reader.
 func (n *Node) isSubstitute() bool {
 	return time.Since(n.started) < time.Duration(n.substituteUntil.Load())
--- a/internal/sidecar/reader_test.go
+++ b/internal/sidecar/reader_test.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"context"
 	"io"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
+	"github.com/chicoryscale/chicoryscale/internal/platform"
 	"github.com/chicoryscale/chicoryscale/internal/proxy"
 )
 
@@ -118,6 +120,46 @@
 	is.True(!n.shouldRead(TableOperator))
 }
 
+// changesPlatform reports each read of changes.
+type changesPlatform struct {
+	fakePlatform
+	reads chan Table
+}
+
+func (p changesPlatform) Changes(_ context.Context, t Table, after platform.Revision, _ time.Duration) ([]Change, platform.Revision, error) {
+	select {
+	case p.reads <- t:
+	default:
+	}
+	return nil, after, nil
+}
+
+// Guards against a host that is cut off from the others, but not from the store, and answers
+// by an old configuration for seconds, while it tries one reader after the other.
+func TestFollowerWithoutReaderReadsTheOperatorsRows(t *testing.T) {
+	is := is.New(t)
+	p := changesPlatform{reads: make(chan Table, 1)}
+	n, err := New(Settings{Host: "d", Domain: "d", PeerAddr: "d:2"}, p, NewLog(io.Discard))
+	is.NoErr(err)
+	for _, t := range []Table{TableOperator, TableShared} {
+		n.replicas[t].setLoaded()
+	}
+	reader := member("a")
+	reader.PeerAddr = "127.0.0.1:1" // refuses connections
+	n.step(proxy.MembersSeen{Members: []proxy.Member{reader}})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { n.followReader(ctx); close(done) }()
+	select {
+	case table := <-p.reads:
+		is.Equal(table, TableOperator)
+	case <-time.After(5 * time.Second):
+		t.Error("no read of the operator's rows")
+	}
+	cancel()
+	<-done
+}
+
 // hasWaiters reports whether a goroutine waits for the next call of wake.
 func (b *broadcast) hasWaiters() bool {
 	b.mu.Lock()
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -70,6 +70,8 @@
 	eraChanged broadcast
 	// following is set while this node follows a reader.
 	following atomic.Bool
+	// catchingUp is set while catchUpWithOperator runs.
+	catchingUp atomic.Bool
 	// foundHostsAt is the time, in ns since the start, at which a full read of the
 	// shared rows first found other hosts. It is zero before that.
 	foundHostsAt atomic.Int64
