Judge late answers only beside answers of the old version in time

Cause: the share of late answers, which judges, rises for both versions when the service is slow for a time. The new version has most of its answers from the later time, so a good one could be rolled back. Found when reading the change; the failures of both versions are excused for the same reason.

The comparison of recent answers serves both rules.

TestSlownessOfBothVersionsDoesNotRollBack failed before and passes.

--- a/internal/rollout/judge.go
+++ b/internal/rollout/judge.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// minFailures is the number of failed answers below which a version is never
-	// considered faulty: single failures happen on good versions too.
+	// minFailures is the number of failed or late answers below which a version is never
+	// considered faulty: single ones happen on good versions too.
 	minFailures = 5
 	// The new version is faulty if its failure ratio exceeds failureFactor times
 	// that of the old one plus a margin, which is failureMargin at most.
@@ -72,6 +72,13 @@
 	return float64(t.busy) / float64(t.measured)
 }
 
+func (t *tally) lateRatio() float64 {
+	if t.measured == 0 {
+		return 0
+	}
+	return float64(t.late) / float64(t.measured)
+}
+
 // failing reports whether the failure ratio of the new version (canary) exceeds that
 // of the old version (baseline) by more than chance explains.
 func failing(canary, baseline tally) bool {
@@ -152,12 +159,23 @@
 			return fmt.Sprintf("answers take %s on route %s, %s before",
 				time.Duration(canary.meanDuration()).Round(time.Millisecond), route, time.Duration(baseline.meanDuration()).Round(time.Millisecond))
 		}
-		if oftenLate(canary, baseline) && c.mostInstances(func(t tally) bool { return instanceIsLate(t, baseline) }, route) {
-			return lateReason(canary, baseline, " on route "+string(route))
-		}
 	}
+	return ""
+}
+
+// latenessReason is RollbackReason for answers over the target latency. It is separate because
+// load makes answers late more often than it makes them fail, so the caller must know that the
+// old version isn't late at the same time.
+func latenessReason(target mesh.BackendVersion, evidence []Evidence) string {
+	c := compare(target, evidence)
 	if oftenLate(c.canary, c.baseline) && c.mostInstances(func(t tally) bool { return instanceIsLate(t, c.baseline) }, "") {
-		return lateReason(c.canary, c.baseline, "")
+		return lateText(c.canary, c.baseline, "")
+	}
+	for _, route := range c.routes {
+		canary, baseline := c.byRoute[route][0], c.byRoute[route][1]
+		if oftenLate(canary, baseline) && c.mostInstances(func(t tally) bool { return instanceIsLate(t, baseline) }, route) {
+			return lateText(canary, baseline, " on route "+string(route))
+		}
 	}
 	return ""
 }
@@ -174,7 +192,7 @@
 	return float64(instance.late) > expectedLate(instance, baseline)
 }
 
-func lateReason(canary, baseline tally, where string) string {
+func lateText(canary, baseline tally, where string) string {
 	return fmt.Sprintf("%d of %d answers were over the target latency%s, %d of %d before", canary.late, canary.measured, where, baseline.late, baseline.measured)
 }
 
--- a/internal/rollout/reducer.go
+++ b/internal/rollout/reducer.go
@@ -331,16 +331,24 @@
 // service that both versions call fails just after the share has grown, the new
 // version's first answers of the stage are mostly failures.
 //
-// While both versions fail alike, whatever the cause, neither comparison is made.
+// While both versions fail alike, whatever the cause, neither comparison is made, and while
+// both are late alike, or the old version has hardly any answers, lateness isn't judged.
 // Because the share grows, the new version's counts are from later times than the
 // old one's, and a disturbance of both versions would look like a fault of the new
 // one.
 func (ro *serviceRollout) fault(now mesh.Time) string {
-	if ro.bothVersionsFail(now) {
+	recent := ro.compareRecent(now)
+	if recent.bothFail() {
 		return ""
 	}
+	judge := func(evidence []Evidence) string {
+		if reason := RollbackReason(ro.order.Target, evidence); reason != "" || recent.bothLate() {
+			return reason
+		}
+		return latenessReason(ro.order.Target, evidence)
+	}
 	all := slices.SortedFunc(maps.Values(ro.evidence), func(a, b Evidence) int { return cmp.Compare(a.Instance, b.Instance) })
-	if reason := RollbackReason(ro.order.Target, all); reason != "" || ro.row.Stage == 0 {
+	if reason := judge(all); reason != "" || ro.row.Stage == 0 {
 		return reason
 	}
 	baselineAnswers := uint32(0)
@@ -353,12 +361,12 @@
 	if baselineAnswers < minBaselineAnswers {
 		return ""
 	}
-	return RollbackReason(ro.order.Target, all)
+	return judge(all)
 }
 
-// bothVersionsFail reports whether the old version's recent failure ratio is close to
-// the new one's. It also renews the copies of the evidence that define "recent".
-func (ro *serviceRollout) bothVersionsFail(now mesh.Time) bool {
+// compareRecent compares the versions over the last one to two times recentWindow. It also
+// renews the copies of the evidence that define this time.
+func (ro *serviceRollout) compareRecent(now mesh.Time) *comparison {
 	if now.Sub(ro.lastEvidenceAt) >= recentWindow {
 		ro.prevEvidence, ro.lastEvidence, ro.lastEvidenceAt = ro.lastEvidence, maps.Clone(ro.evidence), now
 	}
@@ -366,10 +374,20 @@
 	for _, e := range ro.evidence {
 		recent = append(recent, e.countsSince(ro.prevEvidence[e.Instance]))
 	}
-	c := compare(ro.order.Target, recent)
+	return compare(ro.order.Target, recent)
+}
+
+// bothFail reports whether the old version's failure ratio is close to the new one's.
+func (c *comparison) bothFail() bool {
 	return c.canary.failures > 0 && c.baseline.answers >= minRecentBaselineAnswers && c.baseline.failureRatio() >= sharedFaultRatio*c.canary.failureRatio()
 }
 
+// bothLate reports whether the old version misses the target latency about as often as the new
+// one, or has too few answers to tell.
+func (c *comparison) bothLate() bool {
+	return c.baseline.measured < minRecentBaselineAnswers || c.baseline.lateRatio() >= sharedFaultRatio*c.canary.lateRatio()
+}
+
 // stageEnded reports whether the current stage has lasted long enough and the new
 // version has the evidence and the capacity for the next stage's share.
 func (ro *serviceRollout) stageEnded(now mesh.Time, slots Slots) bool {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -307,6 +307,25 @@
 	}
 }
 
+// Guards against a good version that is rolled back because the service is slow for a time,
+// whichever version answers: the new version has most of its answers from that time.
+func TestSlownessOfBothVersionsDoesNotRollBack(t *testing.T) {
+	is := is.New(t)
+	for _, begins := range []float64{0.3, 0.5, 0.57, 0.62} {
+		disturbed := func(at time.Duration, random *rand.Rand) (bool, time.Duration) {
+			failed, took := healthy(at, random)
+			if float64(at)/float64(duration) > begins {
+				took = took * 3 / 2
+			}
+			return failed, took
+		}
+		for seed := range uint64(20) {
+			final, _, _ := simulateVersions(t, seed, 600, disturbed, disturbed, 0)
+			is.Equal(final.State, Completed)
+		}
+	}
+}
+
 // Guards against a bad version that completes because the old version fails as well,
 // though less often.
 func TestBadVersionIsRolledBackWhileOldVersionFails(t *testing.T) {
