--- a/internal/clientlimit/guard_test.go
+++ b/internal/clientlimit/guard_test.go
@@ -272,7 +272,7 @@
 		server.RequestBegan(0)
 		server.RequestRead()
 		l.receive(client, server, "G")
-		time.Sleep(2 * departureCheckInterval)
+		time.Sleep(2 * departureCheckInterval) // the client stays for some checks
 		is.NoErr(ctx.Err())
 		server.RequestEnded()
 	}
--- a/internal/poison/identity.go
+++ b/internal/poison/identity.go
@@ -6,9 +6,9 @@
 	"github.com/chicoryscale/chicoryscale/internal/mesh"
 )
 
-// Request is the identity of a request. It covers all that the run of a request may depend
-// on, because a crash says nothing about a request that differs in any of it. Headers that
-// change with each send are left out.
+// Request is the identity of a request. It covers what decides the work of its run, because a
+// crash says nothing about a request that differs in any of it. Other headers than Host are
+// left out: some change with each send, and a request that comes again must be recognised.
 type Request struct {
 	Hash    mesh.RequestHash
 	Service mesh.Service // of the backend servers that run the request
