--- a/review/_stand3/deployment.go
+++ b/review/_stand3/deployment.go
@@ -43,6 +43,7 @@
 // Bounds of the small deployments (SYSTEM.md).
 const (
 	applyDeadline = 2 * time.Second
+	drainTime     = 2 * time.Second
 	stableWindow  = 3 * time.Second
 	heartbeatTime = 870 * time.Millisecond
 	slots         = 9
--- a/review/_stand3/forged.go
+++ b/review/_stand3/forged.go
@@ -116,6 +116,16 @@
 		}
 	}
 	time.Sleep(8 * time.Second)
+	// At last the instance drains. It serves until the end of the run.
+	leaving := d.hosts[2]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	err := leaving.instance.Drain(ctx)
+	cancel()
+	d.record.say("the instance of %s says that it drains, acknowledged: %v", leaving.name, err == nil)
+	time.Sleep(drainTime + 500*time.Millisecond)
+	before := len(leaving.instance.Runs())
+	time.Sleep(3 * time.Second)
+	late := len(leaving.instance.Runs()) - before
 	close(stop)
 	answers := wait()
 
@@ -149,7 +159,8 @@
 	}
 	d.record.say("%d requests, answers by status %v", len(answers), statuses)
 	d.record.say("%d requests were run by a service to which no configuration leads (%d of them orders), %d of them answered to the client as a success", wrong, orders, foreign)
-	if wrong > 0 {
+	d.record.say("%d requests reached the draining instance later than %v after the ack", late, drainTime+500*time.Millisecond)
+	if wrong > 0 || late > 0 {
 		return exitBroken, nil
 	}
 	return exitHeld, nil
