review: show that an instance that has left gets requests after a kill of all

The ack of a leave is in memory only. After all processes were killed, one health answer opens the gate of the instance again. The instance says well and fails all requests for 6.5 s.

--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -11,9 +11,10 @@
 
 // cases holds the cases by name.
 var cases = map[string]func(d *deployment, trouble bool) (int, error){
-	"slow-bodies": runSlowBodies,
-	"forged":      runForged,
-	"slow-heads":  runSlowHeads,
+	"slow-bodies":  runSlowBodies,
+	"forged":       runForged,
+	"false-health": runFalseHealth,
+	"slow-heads":   runSlowHeads,
 }
 
 // timeLimit is the time after which a case is given up.
