--- a/review/_stand3/slowheads.go
+++ b/review/_stand3/slowheads.go
@@ -142,6 +142,12 @@
 	}
 	cancel()
 	group.Wait()
+	for _, h := range d.hosts {
+		for _, r := range h.instance.Runs() {
+			d.record.line("run       %s by %s", r.Identity, r.Instance)
+		}
+	}
+	d.record.line("crowd: %d connections opened, %d requests of a path without a route answered", c.opened.Load(), c.requests.Load())
 	d.record.say("ordinary callers: %d requests answered, %d not; longest time without an answered one %v; readiness checks that failed: %d; crowd: %d connections, %d answered requests; process alive: %v",
 		answered.Load(), failed.Load(), longest.Round(time.Millisecond), notReady, c.opened.Load(), c.requests.Load(), target.alive())
 	if longest > stableWindow {
